--- /dev/null
+++ b/cmd/wasabislip/edge.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"wasabislip.example/wasabislip/internal/modules/inet"
+	"wasabislip.example/wasabislip/internal/modules/jlog"
+	"wasabislip.example/wasabislip/internal/modules/local"
+	"wasabislip.example/wasabislip/internal/routers/edge"
+	"wasabislip.example/wasabislip/platform/boot"
+	"wasabislip.example/wasabislip/platform/decode"
+	"wasabislip.example/wasabislip/platform/lines"
+	"wasabislip.example/wasabislip/platform/order"
+	"wasabislip.example/wasabislip/platform/rows"
+)
+
+func edgeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "edge",
+		Usage: "run one host on the users' platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:     "settings",
+				Usage:    "the host's settings file",
+				Sources:  cli.EnvVars(boot.PathVariable),
+				Required: true,
+			},
+		},
+		Action: runEdge,
+	}
+}
+
+// runEdge runs the host until SIGTERM or SIGINT, and then stops it without
+// cutting a request.
+func runEdge(ctx context.Context, cmd *cli.Command) error {
+	name := cmd.String("settings")
+	settings, err := local.Load(name)
+	if err != nil {
+		return err
+	}
+	log := jlog.New(os.Stdout)
+	defer log.Close()
+	log.Install()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go reload(ctx, name, settings)
+	machine := inet.New()
+	h := &edge.Host{
+		Settings:      settings,
+		Store:         rows.New(settings.StoreAddress, machine.Dial),
+		Decoder:       decode.Decoder{},
+		OperatorTable: decode.OperatorTable,
+		ServerTable:   decode.ServerTable,
+		Orders:        order.New(settings.OrderAddress, machine.Dial),
+		Instances:     lines.Dialer(machine.Dial),
+		Network:       machine,
+		Wire:          lines.Caller,
+		Dropped:       log.Dropped,
+	}
+	return h.Run(ctx)
+}
+
+// reload reads the settings again at each SIGHUP. What a running host uses of
+// them stays the same for its life, so that only a difference is told.
+func reload(ctx context.Context, name string, current *local.Settings) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		next, err := local.Load(name)
+		if err != nil {
+			klog.ErrorS(err, "the settings can't be reloaded; those of the start stay in force")
+			continue
+		}
+		klog.InfoS("settings reloaded", "changed", *next != *current, "note", "a change takes effect at the next start")
+	}
+}
--- a/cmd/wasabislip/main.go
+++ b/cmd/wasabislip/main.go
@@ -34,6 +34,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(),
+			edgeCommand(),
 			demoCommand(),
 			checkCommand(),
 			planCommand(),
--- /dev/null
+++ b/internal/modules/counts/counts.go
@@ -0,0 +1,127 @@
+// Package counts holds the metrics of a host that serves callers itself.
+package counts
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"wasabislip.example/wasabislip/internal/models/reply"
+)
+
+const namespace = "wasabislip"
+
+// latencies are the histogram's bounds in seconds: around the targets that
+// operators declare, 0.1 to 0.5 s, and up to the longest timeouts.
+var latencies = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2, 5}
+
+var outcomes = map[int]string{
+	reply.Done:               "done",
+	reply.Busy:               "busy",
+	reply.Aborted:            "aborted",
+	reply.Lagging:            "lagging",
+	reply.NotPrimary:         "not-primary",
+	reply.WrongServer:        "wrong-server",
+	reply.TooManyConnections: "too-many-connections",
+	reply.UnknownName:        "unknown-name",
+	reply.Failed:             "failed",
+	reply.TimedOut:           "timed-out",
+	reply.InDoubt:            "in-doubt",
+	reply.KeyRefused:         "key-refused",
+	reply.NoDatabase:         "no-database",
+	reply.Malformed:          "malformed",
+}
+
+// Counts are the metrics. Labels are outcomes and reasons, never workspaces or
+// databases, whose number has no bound.
+type Counts struct {
+	registry *prometheus.Registry
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	reads    *prometheus.CounterVec
+	seconds  prometheus.Histogram
+	changes  *prometheus.HistogramVec
+}
+
+// New returns metrics in a registry of their own.
+func New() *Counts {
+	c := &Counts{
+		registry: prometheus.NewRegistry(),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "answers_total",
+			Help:      "Answers to callers' statements, by outcome.",
+		}, []string{"outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "refusals_total",
+			Help:      "Statements that did not succeed, by the reason that decided it.",
+		}, []string{"reason"}),
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace,
+			Name:      "reads_total",
+			Help:      "Reads outside of transactions, by the role of the instance that ran them.",
+		}, []string{"role"}),
+		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace,
+			Name:      "answer_seconds",
+			Help:      "Time from reading a statement to its answer.",
+			Buckets:   latencies,
+		}),
+		changes: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace,
+			Name:      "primary_change_seconds",
+			Help:      "Changes of primary that this host carried out, planned or not.",
+			Buckets:   []float64{0.25, 0.5, 1, 2, 3, 5, 8, 12},
+		}, []string{"planned"}),
+	}
+	c.registry.MustRegister(c.answers, c.refusals, c.reads, c.seconds, c.changes)
+	c.registry.MustRegister(collectors.NewGoCollector())
+	return c
+}
+
+// Answer counts an answer to a statement that took took.
+func (c *Counts) Answer(outcome int, took time.Duration) {
+	c.answers.WithLabelValues(outcomes[outcome]).Inc()
+	c.seconds.Observe(took.Seconds())
+}
+
+// Refused counts a statement that did not succeed.
+func (c *Counts) Refused(reason string) {
+	c.refusals.WithLabelValues(reason).Inc()
+}
+
+// Read counts a read outside of a transaction.
+func (c *Counts) Read(replica bool) {
+	role := "primary"
+	if replica {
+		role = "replica"
+	}
+	c.reads.WithLabelValues(role).Inc()
+}
+
+// Changed counts a change of primary.
+func (c *Counts) Changed(planned bool, took time.Duration) {
+	kind := "no"
+	if planned {
+		kind = "yes"
+	}
+	c.changes.WithLabelValues(kind).Observe(took.Seconds())
+}
+
+// Gauge publishes a number that is read when metrics are fetched.
+func (c *Counts) Gauge(name, help string, value func() float64) {
+	c.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	}, value))
+}
+
+// Handler serves the metrics.
+func (c *Counts) Handler() http.Handler {
+	return promhttp.HandlerFor(c.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/routers/edge/caller.go
@@ -0,0 +1,216 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/routers/wire"
+	"wasabislip.example/wasabislip/internal/services/talk"
+)
+
+const (
+	// helloTimeout bounds the wait for a caller's first message.
+	helloTimeout = 5 * time.Second
+	// writeTimeout bounds one answer to a caller that reads slowly.
+	writeTimeout = 5 * time.Second
+	// filesPart is the part of the descriptors that callers may use; the rest
+	// is for instances, other hosts and the platform.
+	filesPart = 0.7
+	// acceptPause is the pause after a failed accept.
+	acceptPause = 20 * time.Millisecond
+)
+
+// caller is one caller's connection.
+type caller struct {
+	host    *Host
+	wire    wire.Wire
+	session *talk.Session
+
+	mu sync.Mutex
+	// busy tells that a statement was read and is not answered yet.
+	busy bool
+	// open tells that a transaction is open.
+	open bool
+	// leave asks that the session ends as soon as it is idle, and expire that
+	// its transaction is rolled back for it.
+	leave  bool
+	expire bool
+}
+
+// accept takes callers until the listener closes.
+func (h *Host) accept(ctx context.Context, l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if isClosed(err) {
+			return
+		}
+		if err != nil {
+			klog.ErrorS(err, "a caller could not be accepted")
+			time.Sleep(acceptPause)
+			continue
+		}
+		x := &caller{
+			host: h,
+			wire: h.Wire(c),
+		}
+		if !h.add(x) {
+			h.counts.Refused("too-many-callers")
+			_ = c.Close()
+			continue
+		}
+		go x.serve(ctx)
+	}
+}
+
+func isClosed(err error) bool {
+	return errors.Is(err, net.ErrClosed)
+}
+
+func (h *Host) add(x *caller) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if float64(len(h.sessions)) >= filesPart*float64(h.Settings.Files) {
+		return false
+	}
+	h.sessions[x] = struct{}{}
+	h.accepted++
+	return true
+}
+
+func (h *Host) remove(x *caller) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.sessions, x)
+}
+
+func (x *caller) serve(ctx context.Context) {
+	defer x.host.remove(x)
+	defer x.wire.Close()
+	if !x.hello() {
+		return
+	}
+	defer x.session.Close()
+	for x.next(ctx) {
+	}
+}
+
+// hello reads the caller's first message and opens its session.
+func (x *caller) hello() bool {
+	_ = x.wire.SetReadDeadline(time.Now().Add(helloTimeout)) // a failure shows at the read
+	database, key, err := x.wire.ReadHello()
+	if err != nil {
+		x.lost(err)
+		return false
+	}
+	x.session = &talk.Session{
+		Directory: x.host.mirror,
+		Groups:    x.host.groups,
+		Pools:     x.host.depot,
+		Rates:     x.host.rates,
+		Audit:     x.host.audit,
+		Meter:     x.host.counts,
+		Database:  database,
+		Key:       key,
+	}
+	_ = x.wire.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if r := x.session.Open(); r.Outcome != reply.Done {
+		_ = x.wire.Refuse(&r) // the caller may be gone; nothing ran
+		return false
+	}
+	return x.wire.Welcome() == nil
+}
+
+// next waits for a statement, runs it and answers; false when the session is
+// over.
+func (x *caller) next(ctx context.Context) bool {
+	if !x.rest() {
+		return false
+	}
+	q, err := x.wire.ReadQuery()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return x.woken()
+	}
+	if err != nil {
+		x.lost(err)
+		return false
+	}
+	x.setBusy(true)
+	r := x.session.Handle(ctx, q)
+	_ = x.wire.SetWriteDeadline(time.Now().Add(writeTimeout)) // a failure shows at the write
+	if err := x.wire.WriteReply(&r); err != nil {
+		x.host.audit.Problem("the answer could not be delivered", "request", q.ID, "database", x.session.Database, "err", err.Error())
+		return false
+	}
+	x.setBusy(false)
+	return true
+}
+
+// rest sets how long the session may wait for its next statement; false when
+// it is to end now.
+func (x *caller) rest() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.expire {
+		x.expire = false
+		x.session.Expire("host-stopping", "the host stops; the transaction is rolled back")
+	}
+	if x.leave && !x.session.InTransaction() && x.wire.Buffered() == 0 {
+		return false
+	}
+	deadline := time.Time{}
+	if limit := x.session.IdleLimit(); limit > 0 {
+		deadline = time.Now().Add(limit)
+	}
+	return x.wire.SetReadDeadline(deadline) == nil
+}
+
+// woken handles a wait that was ended: by the limit for idle transactions, or
+// by a stop.
+func (x *caller) woken() bool {
+	x.mu.Lock()
+	stopped := x.leave || x.expire
+	x.mu.Unlock()
+	if !stopped {
+		x.session.Expire("idle-transaction", "the transaction rested for too long and is rolled back")
+	}
+	return true
+}
+
+func (x *caller) setBusy(busy bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.busy = busy
+	x.open = x.session.InTransaction()
+}
+
+// lost logs the end of a connection that is no usual one.
+func (x *caller) lost(err error) {
+	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return
+	}
+	klog.V(1).InfoS("a caller's connection ended", "err", err.Error())
+}
+
+// ask makes an idle session end, and with expire also one whose transaction
+// rests. Statements under way are answered first.
+func (x *caller) ask(expire bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.session == nil {
+		_ = x.wire.SetReadDeadline(time.Now()) // no statement was read yet
+		return
+	}
+	x.leave = true
+	x.expire = x.expire || expire
+	if !x.busy && (!x.open || expire) {
+		_ = x.wire.SetReadDeadline(time.Now()) // wakes the session
+	}
+}
--- /dev/null
+++ b/internal/routers/edge/edge.go
@@ -0,0 +1,325 @@
+// Package edge runs a host of a fleet whose instances register themselves: it
+// joins the parts, serves callers, and stops without cutting a request.
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"wasabislip.example/wasabislip/internal/gen/wasabislip/v1/wasabislipv1connect"
+	"wasabislip.example/wasabislip/internal/models/policy"
+	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/models/tuple"
+	"wasabislip.example/wasabislip/internal/modules/audit"
+	"wasabislip.example/wasabislip/internal/modules/counts"
+	"wasabislip.example/wasabislip/internal/modules/local"
+	"wasabislip.example/wasabislip/internal/routers/wire"
+	"wasabislip.example/wasabislip/internal/services/census"
+	"wasabislip.example/wasabislip/internal/services/change"
+	"wasabislip.example/wasabislip/internal/services/dbview"
+	"wasabislip.example/wasabislip/internal/services/depot"
+	"wasabislip.example/wasabislip/internal/services/gossip"
+	"wasabislip.example/wasabislip/internal/services/groups"
+	"wasabislip.example/wasabislip/internal/services/link"
+	"wasabislip.example/wasabislip/internal/services/mirror"
+	"wasabislip.example/wasabislip/internal/services/probe"
+	"wasabislip.example/wasabislip/internal/services/pulse"
+	"wasabislip.example/wasabislip/internal/services/rates"
+	"wasabislip.example/wasabislip/pkg/model/host"
+)
+
+const (
+	// divideEvery is the time between two divisions of the workspaces' rates.
+	divideEvery = 200 * time.Millisecond
+	// memoryPart is the part of the memory limit at which the collector works
+	// harder; the rest is for stacks and for what the kernel counts.
+	memoryPart = 0.7
+	// collectAt lets the heap grow to this percentage before a collection: a
+	// host's live heap is a few megabytes, and processor time is dearer.
+	collectAt = 300
+	// headerTimeout bounds a request's head on the host's own HTTP ports.
+	headerTimeout = 5 * time.Second
+)
+
+// store is the platform's store.
+type store interface {
+	Read(ctx context.Context, table string) ([]tuple.Tuple, uint64, error)
+	Follow(ctx context.Context, table string, after uint64, wait time.Duration) ([]tuple.Tuple, uint64, error)
+	Write(ctx context.Context, expected, puts, deletes []tuple.Tuple) (uint64, error)
+}
+
+// decoder reads the rows that others wrote.
+type decoder interface {
+	IsPolicy(key string) bool
+	Evacuated(key string) (dataCentre string, ok bool)
+	Policy(value []byte) (*policy.Policy, error)
+	Server(id string, value []byte) (server.Server, error)
+}
+
+// promoter gives the order that makes an instance the primary.
+type promoter interface {
+	Promote(ctx context.Context, service, id, holder string, token uint64) error
+}
+
+// dialer opens connections to instances.
+type dialer interface {
+	Dial(ctx context.Context, address string) (link.Link, error)
+}
+
+// network listens and dials; tests use one in memory.
+type network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Host is one host. Its fields are set before Run.
+type Host struct {
+	// Settings are the host's own.
+	Settings *local.Settings
+	// Store is the platform's store.
+	Store store
+	// Decoder reads the rows that others wrote.
+	Decoder decoder
+	// OperatorTable and ServerTable are the store's names of their tables.
+	OperatorTable string
+	// ServerTable holds the registered instances.
+	ServerTable string
+	// Orders changes primaries.
+	Orders promoter
+	// Instances opens connections to instances.
+	Instances dialer
+	// Network listens and dials other hosts.
+	Network network
+	// Wire wraps a caller's connection.
+	Wire func(c net.Conn) wire.Wire
+	// Dropped tells how many log lines were dropped.
+	Dropped func() int64
+
+	mirror *mirror.Mirror
+	groups *groups.Groups
+	gossip *gossip.Gossip
+	census *census.Census
+	rates  *rates.Rates
+	depot  *depot.Depot
+	audit  *audit.Audit
+	counts *counts.Counts
+
+	mu       sync.Mutex
+	sessions map[*caller]struct{}
+	stopping bool
+	started  time.Time
+	accepted int64
+}
+
+// lateRank gives the mirror the ranking of a gossip that is made after it.
+type lateRank struct {
+	gossip *gossip.Gossip
+}
+
+func (l *lateRank) Rank(duty string) int {
+	return l.gossip.Rank(duty)
+}
+
+// lateCensus gives the views the registration of a census made after them.
+type lateCensus struct {
+	census *census.Census
+}
+
+func (l *lateCensus) RegisteredSince() (time.Duration, bool) {
+	return l.census.RegisteredSince()
+}
+
+// Size returns how many hosts share the instances' connections.
+func (h *Host) Size() int {
+	return len(h.gossip.Alive()) + 1
+}
+
+func (h *Host) build() {
+	h.started = time.Now()
+	h.sessions = map[*caller]struct{}{}
+	self := host.Host{
+		Name:        h.Settings.Host,
+		Address:     h.Settings.PeerAddress,
+		DataCentre:  h.Settings.DataCentre,
+		State:       host.Alive,
+		Incarnation: uint64(h.started.UnixMilli()),
+	}
+	rank := &lateRank{}
+	registry := &lateCensus{}
+	h.mirror = mirror.New(h.Store, h.Decoder, rank, h.OperatorTable, h.ServerTable)
+	h.groups = groups.New(func(service string) *dbview.View {
+		return dbview.New(service, self.DataCentre, mirror.Fleet, h.mirror, registry)
+	})
+	h.rates = rates.New()
+	h.gossip = gossip.New(self, h.Settings.SeedList(), h.mirror, h.groups, h.rates, h.Network.Dial)
+	rank.gossip = h.gossip
+	h.census = census.New(self, h.mirror, h.Store, h.gossip)
+	registry.census = h.census
+	h.depot = depot.New(h.mirror, h, h.Instances)
+	h.audit = audit.New()
+	h.counts = counts.New()
+	h.publish()
+}
+
+// publish adds what is read when metrics are fetched.
+func (h *Host) publish() {
+	h.counts.Gauge("callers", "Callers connected.", func() float64 {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return float64(len(h.sessions))
+	})
+	h.counts.Gauge("instance_connections", "Connections to instances.", func() float64 {
+		open, _, _ := h.depot.Counts()
+		return float64(open)
+	})
+	h.counts.Gauge("instance_connections_opened", "Connections to instances opened since the start.", func() float64 {
+		_, opened, _ := h.depot.Counts()
+		return float64(opened)
+	})
+	h.counts.Gauge("configuration_version", "The configuration in force.", func() float64 {
+		if p := h.mirror.Policy(); p != nil {
+			return float64(p.Version)
+		}
+		return 0
+	})
+	h.counts.Gauge("lease_age_seconds", "Age of the copy that renews the leases of primaries.", func() float64 {
+		return h.mirror.Age(mirror.Fleet).Seconds()
+	})
+	h.counts.Gauge("hosts", "Other hosts alive.", func() float64 {
+		return float64(len(h.gossip.Alive()))
+	})
+	h.counts.Gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 {
+		return float64(h.Dropped())
+	})
+}
+
+// Run serves until ctx ends, and then stops in order.
+func (h *Host) Run(ctx context.Context) error {
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(int64(float64(h.Settings.Memory) * memoryPart * (1 << 20)))
+	h.build()
+	klog.InfoS("start", "host", h.Settings.Host, "data-centre", h.Settings.DataCentre, "callers", h.Settings.CallerAddress)
+	listeners, err := h.listen()
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var parts conc.WaitGroup
+	h.serveHTTP(&parts, listeners)
+	parts.Go(func() { h.mirror.Run(background) })
+	parts.Go(func() { h.gossip.Run(background) })
+	parts.Go(func() { h.census.Run(background) })
+	parts.Go(func() { h.depot.Run(background) })
+	parts.Go(func() { h.divide(background) })
+	prober := probe.New(h.Instances, h.mirror)
+	parts.Go(func() {
+		pulse.New(h.mirror, h.groups, h.gossip, prober, mirror.Fleet).Run(background)
+	})
+	parts.Go(func() { h.changes(prober).Run(background) })
+	parts.Go(func() { h.accept(background, listeners.callers) })
+	<-ctx.Done()
+	h.stop(background, listeners)
+	cancel()
+	parts.Wait()
+	klog.InfoS("stop", "host", h.Settings.Host, "after", time.Since(h.started).String())
+	return nil
+}
+
+func (h *Host) changes(p *probe.Prober) *change.Change {
+	return &change.Change{
+		Host:      h.Settings.Host,
+		Fleet:     mirror.Fleet,
+		Directory: h.mirror,
+		Store:     h.Store,
+		Platform:  h.Orders,
+		Prober:    p,
+		Hosts:     h.gossip,
+		Groups:    h.groups,
+		Meter:     h.counts,
+	}
+}
+
+// divide keeps this host's parts of the workspaces' rates up to date.
+func (h *Host) divide(ctx context.Context) {
+	t := time.NewTicker(divideEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if p := h.mirror.Policy(); p != nil {
+			h.rates.Divide(p, h.gossip.Others(p.Version))
+		}
+	}
+}
+
+// listeners are the host's open ports.
+type listeners struct {
+	callers net.Listener
+	ready   net.Listener
+	peers   net.Listener
+	metrics net.Listener
+}
+
+func (h *Host) listen() (*listeners, error) {
+	l := &listeners{}
+	for _, p := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{address: h.Settings.PeerAddress, into: &l.peers},
+		{address: h.Settings.ReadyAddress, into: &l.ready},
+		{address: h.Settings.MetricsAddress, into: &l.metrics},
+		{address: h.Settings.CallerAddress, into: &l.callers},
+	} {
+		listener, err := h.Network.Listen(p.address)
+		if err != nil {
+			return nil, err
+		}
+		*p.into = listener
+	}
+	return l, nil
+}
+
+// serveHTTP answers other hosts, the balancer and who reads metrics.
+func (h *Host) serveHTTP(parts *conc.WaitGroup, l *listeners) {
+	peers := http.NewServeMux()
+	path, handler := wasabislipv1connect.NewGossipServiceHandler(h.gossip)
+	peers.Handle(path, handler)
+	metrics := http.NewServeMux()
+	metrics.Handle("/metrics", h.counts.Handler())
+	for listener, handler := range map[net.Listener]http.Handler{
+		l.peers:   peers,
+		l.ready:   http.HandlerFunc(h.answerReady),
+		l.metrics: metrics,
+	} {
+		s := &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerTimeout,
+		}
+		parts.Go(func() {
+			if err := s.Serve(listener); err != nil && !isClosed(err) {
+				klog.ErrorS(err, "a port is not served any more", "address", listener.Addr().String())
+			}
+		})
+	}
+}
+
+// answerReady tells the balancer whether to send new callers here.
+func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if h.isStopping() || h.mirror.Policy() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/routers/edge/stop.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// Parts of the grace period at which a stop goes on. The balancer needs two
+// seconds to send new callers elsewhere; open transactions get half of the
+// period.
+const (
+	// idleFrom is when idle sessions begin to be closed.
+	idleFrom = 0.3
+	// idleUntil is when the last idle one is asked to end.
+	idleUntil = 0.45
+	// transactionsUntil is when open transactions are rolled back.
+	transactionsUntil = 0.52
+	// endAt is when what is left is cut off.
+	endAt = 0.92
+	// stopPoll is the time between two looks during a stop.
+	stopPoll = 50 * time.Millisecond
+)
+
+func (h *Host) isStopping() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stopping
+}
+
+// stop ends the sessions in order: the balancer is told at once, idle sessions
+// end a while later and one after the other, then those with transactions.
+func (h *Host) stop(ctx context.Context, l *listeners) {
+	h.mu.Lock()
+	h.stopping = true
+	n := len(h.sessions)
+	h.mu.Unlock()
+	klog.InfoS("stopping", "host", h.Settings.Host, "callers", n, "grace", h.Settings.Grace.String())
+	h.gossip.Stop()
+	began := time.Now()
+	at := func(part float64) time.Time {
+		return began.Add(time.Duration(part * float64(h.Settings.Grace)))
+	}
+	for now := range ticks(ctx, at(endAt)) {
+		if now.Before(at(idleFrom)) {
+			continue
+		}
+		if now.After(at(idleUntil)) {
+			_ = l.callers.Close() // a second close is harmless
+		}
+		progress := float64(now.Sub(at(idleFrom))) / float64(at(idleUntil).Sub(at(idleFrom)))
+		if h.ask(progress, now.After(at(transactionsUntil))) == 0 && now.After(at(idleUntil)) {
+			break
+		}
+	}
+	_ = l.callers.Close() // a second close is harmless
+	h.census.Leave(ctx)
+	_ = l.ready.Close() // the process ends
+	_ = l.peers.Close()
+	_ = l.metrics.Close()
+}
+
+// ticks yields the time now and then until the end.
+func ticks(ctx context.Context, end time.Time) func(yield func(time.Time) bool) {
+	return func(yield func(time.Time) bool) {
+		for ctx.Err() == nil {
+			now := time.Now()
+			if now.After(end) || !yield(now) {
+				return
+			}
+			time.Sleep(stopPoll)
+		}
+	}
+}
+
+// ask asks a growing part of the sessions to end, and returns how many are
+// left.
+func (h *Host) ask(progress float64, expire bool) int {
+	h.mu.Lock()
+	list := make([]*caller, 0, len(h.sessions))
+	for x := range h.sessions {
+		list = append(list, x)
+	}
+	h.mu.Unlock()
+	part := int(min(1, progress)*float64(len(list)) + 1)
+	for _, x := range list[:min(part, len(list))] {
+		x.ask(expire)
+	}
+	return len(list)
+}
--- /dev/null
+++ b/internal/services/change/change.go
@@ -0,0 +1,295 @@
+// Package change replaces primaries: those that are gone, and those that are
+// to leave. See docs/PLATFORM.md for why no two primaries can serve at once.
+package change
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"wasabislip.example/wasabislip/internal/models/leader"
+	"wasabislip.example/wasabislip/internal/models/report"
+	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/models/tuple"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
+	"wasabislip.example/wasabislip/internal/services/dbview"
+	"wasabislip.example/wasabislip/pkg/model/host"
+)
+
+const (
+	// every is the time between two looks at the primaries.
+	every = 100 * time.Millisecond
+	// silentFor is how long a primary has answered no host before it counts
+	// as gone: several probes and the statements of all hosts.
+	silentFor = 1100 * time.Millisecond
+	// cutPart is the part of the hosts that can't reach a primary at which it
+	// is replaced although others reach it.
+	cutPart = 0.6
+	// cutFor is how long that lasts before it is: cuts of a second or two
+	// cost less than a change.
+	cutFor = 1500 * time.Millisecond
+	// missingFor is how long the entry of a primary that still answers is gone
+	// before it is replaced.
+	missingFor = time.Second
+	// turn is how much longer each host waits than the one before it in the
+	// ranking.
+	turn = 1200 * time.Millisecond
+	// abandonedAfter is how long a record stays in a change before another
+	// host takes it over. A change takes a lease, a promotion of about a
+	// second, and the calls between.
+	abandonedAfter = 5 * time.Second
+	// retryAfter is the pause after a change that did not succeed.
+	retryAfter = 700 * time.Millisecond
+)
+
+// directory is the copy of the platform's tables.
+type directory interface {
+	Services() []string
+	Servers(service string) []server.Server
+	Server(id string) (server.Server, bool)
+	Missing(id string) bool
+	Evacuated(dataCentre string) bool
+	Leader(service string) (l leader.Leader, version uint64, ok bool)
+	Registered() map[string]host.Host
+	Reread(ctx context.Context, name string) error
+	StoreAnswers() bool
+}
+
+// writer is the platform's store.
+type writer interface {
+	Write(ctx context.Context, expected, puts, deletes []tuple.Tuple) (uint64, error)
+}
+
+// promoter gives the order that makes an instance the primary.
+type promoter interface {
+	Promote(ctx context.Context, service, id, holder string, token uint64) error
+}
+
+// prober asks instances and gives them the orders of a change.
+type prober interface {
+	Status(ctx context.Context, s server.Server) (report.Report, int, error)
+	Hold(ctx context.Context, s server.Server, term uint64) (report.Report, int, error)
+	Release(ctx context.Context, s server.Server) (report.Report, int, error)
+	StepDown(ctx context.Context, s server.Server, term uint64) (report.Report, int, error)
+}
+
+// fleet is what is known of the other hosts.
+type fleet interface {
+	Alive() []host.Host
+	Rank(duty string) int
+	Seen(name string) uint64
+	Unreachable(service string) (hosts, failing int)
+	Unfinished(service string) int
+	Urge()
+}
+
+// groups are the beliefs about services.
+type groups interface {
+	View(service string) *dbview.View
+}
+
+// meter counts changes.
+type meter interface {
+	Changed(planned bool, took time.Duration)
+}
+
+// Change watches the primaries and replaces them.
+type Change struct {
+	// Host is the name of this host.
+	Host string
+	// Fleet is the name of the table that holds the records.
+	Fleet string
+	// Directory is the copy of the platform's tables.
+	Directory directory
+	// Store writes the records.
+	Store writer
+	// Platform gives the orders.
+	Platform promoter
+	// Prober asks the instances.
+	Prober prober
+	// Hosts are the other hosts.
+	Hosts fleet
+	// Groups are the beliefs about services.
+	Groups groups
+	// Meter counts changes.
+	Meter meter
+
+	watches map[string]*watch
+}
+
+// watch is what is remembered of one service between two looks.
+type watch struct {
+	running chan struct{}
+	cause   cause
+	since   time.Duration
+	version uint64
+	seen    time.Duration
+	pause   time.Duration
+}
+
+// cause is why a primary is to be replaced; reason is empty without one.
+type cause struct {
+	reason  string
+	planned bool
+	// patience is how long the cause lasts before the first host acts.
+	patience time.Duration
+}
+
+// Run watches until ctx ends.
+func (c *Change) Run(ctx context.Context) {
+	c.watches = map[string]*watch{}
+	var parts conc.WaitGroup
+	defer parts.Wait()
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			c.look(ctx, &parts)
+		}
+	}
+}
+
+func (c *Change) look(ctx context.Context, parts *conc.WaitGroup) {
+	for _, service := range c.Directory.Services() {
+		w, ok := c.watches[service]
+		if !ok {
+			w = &watch{}
+			c.watches[service] = w
+		}
+		if w.running != nil {
+			select {
+			case <-w.running:
+				w.running = nil
+				w.pause = uptime.Now() + retryAfter
+			default:
+				continue
+			}
+		}
+		found, due := c.due(service, w)
+		if !due {
+			continue
+		}
+		running := make(chan struct{})
+		w.running = running
+		parts.Go(func() {
+			defer close(running)
+			c.replace(ctx, service, found)
+		})
+	}
+}
+
+// due reports whether this host is to replace the primary of a service now.
+func (c *Change) due(service string, w *watch) (cause, bool) {
+	now := uptime.Now()
+	found := c.cause(service, w, now)
+	if found.reason != w.cause.reason {
+		w.cause = found
+		w.since = now
+	}
+	if found.reason == "" || now < w.pause {
+		return found, false
+	}
+	rank := c.Hosts.Rank("change/" + service)
+	patience := found.patience + time.Duration(rank)*turn
+	return found, now-w.since >= patience
+}
+
+// cause finds out why the primary of a service is to be replaced.
+func (c *Change) cause(service string, w *watch, now time.Duration) cause {
+	v := c.Groups.View(service)
+	l, version := v.Leading()
+	if l.Phase == leader.Changing {
+		return c.abandoned(l, version, w, now)
+	}
+	s, ok := c.Directory.Server(l.Primary)
+	if !ok {
+		return cause{
+			reason:   "primary-gone",
+			patience: silentFor,
+		}
+	}
+	silent := now-v.LastAnswer(l.Primary) >= silentFor
+	_, failing := v.Unreachable()
+	switch {
+	case silent && failing:
+		return cause{
+			reason: "primary-silent",
+		}
+	case s.Draining:
+		return cause{
+			reason:  "primary-leaving",
+			planned: true,
+		}
+	case c.Directory.Evacuated(s.DataCentre):
+		return cause{
+			reason:  "data-centre-evacuated",
+			planned: true,
+		}
+	case c.Directory.Missing(l.Primary) && c.Directory.StoreAnswers():
+		return cause{
+			reason:   "primary-unregistered",
+			planned:  true,
+			patience: missingFor,
+		}
+	case c.cut(service, failing):
+		return cause{
+			reason:   "primary-cut-off",
+			planned:  !failing,
+			patience: cutFor,
+		}
+	}
+	return cause{}
+}
+
+// abandoned finds a change whose holder has stopped.
+func (c *Change) abandoned(l leader.Leader, version uint64, w *watch, now time.Duration) cause {
+	if w.version != version {
+		w.version = version
+		w.seen = now
+	}
+	if l.Holder != c.Host && now-w.seen < abandonedAfter {
+		return cause{}
+	}
+	return cause{
+		reason: "change-abandoned",
+	}
+}
+
+// cut reports whether so many hosts can't reach the primary that it is better
+// replaced.
+func (c *Change) cut(service string, own bool) bool {
+	hosts, failing := c.Hosts.Unreachable(service)
+	hosts++
+	if own {
+		failing++
+	}
+	return hosts > 2 && float64(failing) >= cutPart*float64(hosts)
+}
+
+// candidates returns the instances that may become the primary.
+func (c *Change) candidates(service, former string) []server.Server {
+	var list []server.Server
+	for _, s := range c.Directory.Servers(service) {
+		if s.ID == former || s.Draining || c.Directory.Missing(s.ID) || c.Directory.Evacuated(s.DataCentre) {
+			continue
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+func (c *Change) log(message, service string, l leader.Leader, fields ...any) {
+	klog.InfoS(message, append([]any{
+		"service", service,
+		"token", l.Token,
+		"reason", l.Reason,
+		"planned", l.Planned,
+		"former", l.Former,
+		"primary", l.Primary,
+	}, fields...)...)
+}
--- /dev/null
+++ b/internal/services/conns/conns.go
@@ -0,0 +1,392 @@
+// Package conns holds this host's connections to one instance. Each belongs to
+// one workspace; the instance takes a limited number from all hosts together,
+// and its refusal of one more is the only arbiter.
+package conns
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/services/link"
+	"wasabislip.example/wasabislip/internal/services/pconn"
+	"wasabislip.example/wasabislip/pkg/model/fault"
+)
+
+const (
+	// reserve is how many of an instance's connections no host keeps: room
+	// for hosts that have just started and for connections of hosts that went
+	// dark, which the instance drops only after seconds.
+	reserve = 2
+	// borrowed is how many connections a host may hold beyond its even part,
+	// as long as the instance takes them.
+	borrowed = 3
+	// borrowedIdle is how long an idle connection beyond the even part is
+	// kept.
+	borrowedIdle = 250 * time.Millisecond
+	// keptIdle is how long an idle connection within the even part is kept.
+	// It is below the time after which instances close idle connections.
+	keptIdle = 20 * time.Second
+	// fullFor is how long the host opens no more connections than it has
+	// after the instance refused one.
+	fullFor = 200 * time.Millisecond
+	// dialTimeout bounds a connect, which takes a round trip and some ten
+	// milliseconds of a slot.
+	dialTimeout = 600 * time.Millisecond
+)
+
+// dialer opens connections to instances.
+type dialer interface {
+	Dial(ctx context.Context, address string) (link.Link, error)
+}
+
+// Pool is the host's connections to one instance. It is safe for concurrent
+// use.
+type Pool struct {
+	server server.Server
+	dialer dialer
+
+	mu      sync.Mutex
+	keep    int
+	open    int
+	idle    []*pconn.Conn // the longest idle first
+	waiting []*waiter
+	full    time.Time
+	fullAt  int
+	closed  bool
+	opened  int64
+	refused int64
+	inUse   map[string]int
+}
+
+// waiter is a statement that waits for a connection.
+type waiter struct {
+	workspace string
+	priority  int
+	// grant is sent a connection, or nil for the right to open one.
+	grant chan *pconn.Conn
+}
+
+// New returns a pool without connections.
+func New(s server.Server, d dialer) *Pool {
+	return &Pool{
+		server: s,
+		dialer: d,
+		keep:   1,
+		inUse:  map[string]int{},
+	}
+}
+
+// Resize tells how many connections the instance takes in all and how many
+// hosts share them.
+func (p *Pool) Resize(limit, hosts int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep = max(1, (limit-reserve)/max(hosts, 1))
+}
+
+// Get returns a connection for the workspace that holds the session values if
+// there is one. It waits for one up to wait; a fault of the kind overloaded
+// says that there was none.
+func (p *Pool) Get(ctx context.Context, workspace string, values map[string]string, priority int, wait time.Duration) (*pconn.Conn, error) {
+	c, dial, w, err := p.reserve(workspace, values, priority, wait)
+	if err != nil {
+		return nil, err
+	}
+	if w != nil {
+		c, err = p.await(ctx, w, wait)
+		if err != nil {
+			return nil, err
+		}
+		dial = c == nil
+	}
+	if !dial {
+		return c, nil
+	}
+	return p.connect(ctx, workspace)
+}
+
+// reserve takes an idle connection, or the right to open one, or a place in
+// the queue.
+func (p *Pool) reserve(workspace string, values map[string]string, priority int, wait time.Duration) (c *pconn.Conn, dial bool, w *waiter, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, false, nil, gone(p.server.ID)
+	}
+	if c := p.take(workspace, values); c != nil {
+		p.inUse[workspace]++
+		return c, false, nil, nil
+	}
+	if p.open < p.limit() {
+		p.open++
+		p.inUse[workspace]++
+		return nil, true, nil, nil
+	}
+	if len(p.idle) > 0 {
+		p.evict()
+		p.open++
+		p.inUse[workspace]++
+		return nil, true, nil, nil
+	}
+	if wait <= 0 {
+		p.refused++
+		return nil, false, nil, busy(p.server.ID)
+	}
+	w = &waiter{
+		workspace: workspace,
+		priority:  priority,
+		grant:     make(chan *pconn.Conn, 1),
+	}
+	p.waiting = append(p.waiting, w)
+	return nil, false, w, nil
+}
+
+// limit returns how many connections may be open now.
+func (p *Pool) limit() int {
+	if time.Now().Before(p.full) {
+		return max(1, p.fullAt)
+	}
+	return p.keep + borrowed
+}
+
+// take removes and returns the idle connection of the workspace that fits the
+// session best; nil without one.
+func (p *Pool) take(workspace string, values map[string]string) *pconn.Conn {
+	best := -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if c.Workspace != workspace {
+			continue
+		}
+		if c.Stamp(values) {
+			best = i
+			break
+		}
+		if best < 0 || c.Blank() && !p.idle[best].Blank() {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	c := p.idle[best]
+	p.idle = append(p.idle[:best], p.idle[best+1:]...)
+	return c
+}
+
+// evict closes the connection that has been idle for the longest time.
+func (p *Pool) evict() {
+	c := p.idle[0]
+	p.idle = p.idle[1:]
+	p.open--
+	_ = c.Link.Close()
+}
+
+func (p *Pool) await(ctx context.Context, w *waiter, wait time.Duration) (*pconn.Conn, error) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case c := <-w.grant:
+		return c, nil
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, other := range p.waiting {
+		if other == w {
+			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			p.refused++
+			return nil, busy(p.server.ID)
+		}
+	}
+	return <-w.grant, nil // it was granted meanwhile
+}
+
+func (p *Pool) connect(ctx context.Context, workspace string) (*pconn.Conn, error) {
+	l, err := p.dial(ctx, workspace)
+	if err == nil {
+		p.mu.Lock()
+		p.opened++
+		p.mu.Unlock()
+		return &pconn.Conn{
+			Workspace: workspace,
+			Instance:  p.server.ID,
+			Link:      l,
+		}, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leave(workspace)
+	p.open--
+	if fault.IsKind(err, fault.Overloaded) {
+		p.full = time.Now().Add(fullFor)
+		p.fullAt = p.open
+	}
+	p.serve()
+	return nil, err
+}
+
+func (p *Pool) dial(ctx context.Context, workspace string) (link.Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	l, err := p.dialer.Dial(ctx, p.server.Address)
+	if err != nil {
+		return nil, unreachable(p.server.ID, err)
+	}
+	deadline, _ := ctx.Deadline()
+	_ = l.SetReadDeadline(deadline) // a failure shows at the read
+	_ = l.SetWriteDeadline(deadline)
+	r, err := l.Hello(p.server.Service, workspace, p.server.ID)
+	switch {
+	case err != nil:
+		err = unreachable(p.server.ID, err)
+	case r.Outcome == reply.TooManyConnections:
+		err = busy(p.server.ID)
+	case r.Outcome == reply.WrongServer:
+		err = gone(p.server.ID)
+	case r.Outcome != reply.Done:
+		err = unreachable(p.server.ID, fmt.Errorf("the instance refused the session: %s", r.Message))
+	}
+	if err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Put gives back a connection that can be used again.
+func (p *Pool) Put(c *pconn.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leave(c.Workspace)
+	if p.closed {
+		p.open--
+		_ = c.Link.Close()
+		return
+	}
+	c.IdleSince = time.Now()
+	p.idle = append(p.idle, c)
+	p.serve()
+}
+
+// Drop closes a connection that must not be used again.
+func (p *Pool) Drop(c *pconn.Conn) {
+	_ = c.Link.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leave(c.Workspace)
+	p.open--
+	p.serve()
+}
+
+func (p *Pool) leave(workspace string) {
+	p.inUse[workspace]--
+	if p.inUse[workspace] <= 0 {
+		delete(p.inUse, workspace)
+	}
+}
+
+// serve grants what is free to those who wait: urgent lanes first, then the
+// workspace that uses least.
+func (p *Pool) serve() {
+	for len(p.waiting) > 0 {
+		room := p.open < p.limit()
+		if !room && len(p.idle) == 0 {
+			return
+		}
+		w := p.next()
+		p.inUse[w.workspace]++
+		if c := p.take(w.workspace, nil); c != nil {
+			w.grant <- c
+			continue
+		}
+		if !room {
+			p.evict()
+		}
+		p.open++
+		w.grant <- nil
+	}
+}
+
+func (p *Pool) next() *waiter {
+	best := 0
+	for i, w := range p.waiting {
+		b := p.waiting[best]
+		if w.priority < b.priority || w.priority == b.priority && p.inUse[w.workspace] < p.inUse[b.workspace] {
+			best = i
+		}
+	}
+	w := p.waiting[best]
+	p.waiting = append(p.waiting[:best], p.waiting[best+1:]...)
+	return w
+}
+
+// Trim closes connections that have been idle for too long.
+func (p *Pool) Trim() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for len(p.idle) > 0 {
+		limit := keptIdle
+		if p.open > p.keep {
+			limit = borrowedIdle
+		}
+		if now.Sub(p.idle[0].IdleSince) < limit {
+			return
+		}
+		p.evict()
+	}
+}
+
+// Close closes the idle connections, and the others as they are put back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for len(p.idle) > 0 {
+		p.evict()
+	}
+	for _, w := range p.waiting {
+		p.open++
+		p.inUse[w.workspace]++
+		w.grant <- nil
+	}
+	p.waiting = nil
+}
+
+// Counts returns how many connections are open, how many were opened in all
+// and how often a statement found none.
+func (p *Pool) Counts() (open int, opened, refused int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, p.opened, p.refused
+}
+
+func busy(id string) error {
+	return fault.New(
+		fault.Overloaded,
+		"no connection to instance "+id+" is free",
+		"retry later",
+	)
+}
+
+func gone(id string) error {
+	return fault.New(
+		fault.NotRun,
+		"instance "+id+" is gone from its address",
+		"retry; another instance may serve",
+	)
+}
+
+func unreachable(id string, err error) error {
+	return fault.New(
+		fault.NotRun,
+		"instance "+id+" can't be reached",
+		"retry; another instance may serve",
+	).Wrap(err)
+}
--- /dev/null
+++ b/internal/services/mirror/mirror.go
@@ -0,0 +1,331 @@
+// Package mirror keeps copies of the platform's tables: read from the store by
+// a few hosts, and passed on to the others.
+package mirror
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabislip.example/wasabislip/internal/models/leader"
+	"wasabislip.example/wasabislip/internal/models/policy"
+	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/models/tuple"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
+	"wasabislip.example/wasabislip/pkg/model/host"
+)
+
+// Tables that the mirror copies.
+const (
+	// Operators holds the operators' configuration.
+	Operators = "operators"
+	// Servers holds the registered instances.
+	Servers = "servers"
+	// Fleet holds the product's own rows: hosts and leaders.
+	Fleet = "wasabislip"
+)
+
+// MissingGrace is how long an instance stays in use after its entry is gone:
+// entries that lapsed during an outage of the store are back within two
+// seconds of its return, and a second is left for reading them.
+const MissingGrace = 3 * time.Second
+
+// source is the platform's store.
+type source interface {
+	Read(ctx context.Context, table string) ([]tuple.Tuple, uint64, error)
+	Follow(ctx context.Context, table string, after uint64, wait time.Duration) ([]tuple.Tuple, uint64, error)
+}
+
+// decoder reads the rows that others wrote.
+type decoder interface {
+	IsPolicy(key string) bool
+	Evacuated(key string) (dataCentre string, ok bool)
+	Policy(value []byte) (*policy.Policy, error)
+	Server(id string, value []byte) (server.Server, error)
+}
+
+// ranker tells how many live hosts come before this one for a duty.
+type ranker interface {
+	Rank(duty string) int
+}
+
+// Mirror holds the copies. It is safe for concurrent use.
+type Mirror struct {
+	source  source
+	decoder decoder
+	ranker  ranker
+	// names maps the mirror's table names to the store's.
+	names  map[string]string
+	tables map[string]*table
+
+	mu      sync.Mutex
+	now     atomic.Pointer[snapshot]
+	changed chan struct{}
+	store   condition
+}
+
+// table is one copy.
+type table struct {
+	mu sync.Mutex
+	// rows are the rows by key.
+	rows map[string]tuple.Tuple
+	// version is the store's version that the copy shows; 0 before the first.
+	version uint64
+	// asOf is when the store was asked for this or a newer state.
+	asOf time.Duration
+}
+
+// snapshot is what the copies say together. It is not changed once in use.
+type snapshot struct {
+	policy        *policy.Policy
+	policyRow     uint64
+	evacuated     map[string]bool
+	servers       map[string]server.Server
+	missing       map[string]time.Duration
+	leaders       map[string]leader.Leader
+	leaderRows    map[string]uint64
+	registrations map[string]host.Host
+	// registeredRows are the versions of the registrations' rows.
+	registeredRows map[string]uint64
+}
+
+// New returns a mirror without content. operators and servers are the store's
+// names of the tables that others write.
+func New(s source, d decoder, r ranker, operators, servers string) *Mirror {
+	m := &Mirror{
+		source:  s,
+		decoder: d,
+		ranker:  r,
+		names: map[string]string{
+			Operators: operators,
+			Servers:   servers,
+			Fleet:     Fleet,
+		},
+		tables:  map[string]*table{},
+		changed: make(chan struct{}),
+	}
+	for name := range m.names {
+		m.tables[name] = &table{
+			rows: map[string]tuple.Tuple{},
+		}
+	}
+	m.now.Store(&snapshot{})
+	return m
+}
+
+// Changed returns a channel that is closed at the next change of what the
+// copies say.
+func (m *Mirror) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// Policy returns the configuration in force; nil before the first.
+func (m *Mirror) Policy() *policy.Policy {
+	return m.now.Load().policy
+}
+
+// Evacuated reports whether operators took a data centre out of service.
+func (m *Mirror) Evacuated(dataCentre string) bool {
+	return m.now.Load().evacuated[dataCentre]
+}
+
+// Servers returns the instances of a service that may be used, those that are
+// draining included.
+func (m *Mirror) Servers(service string) []server.Server {
+	var list []server.Server
+	for _, s := range m.now.Load().servers {
+		if s.Service == service {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Server returns an instance by its id.
+func (m *Mirror) Server(id string) (server.Server, bool) {
+	s, ok := m.now.Load().servers[id]
+	return s, ok
+}
+
+// Missing reports whether an instance's entry is gone while it is still kept.
+func (m *Mirror) Missing(id string) bool {
+	_, ok := m.now.Load().missing[id]
+	return ok
+}
+
+// Services returns the names of the services in the configuration.
+func (m *Mirror) Services() []string {
+	p := m.Policy()
+	if p == nil {
+		return nil
+	}
+	var names []string
+	for name := range p.ConnectionLimit {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Leader returns the record of a service's primary and the version of its row;
+// false without one.
+func (m *Mirror) Leader(service string) (l leader.Leader, version uint64, ok bool) {
+	s := m.now.Load()
+	l, ok = s.leaders[service]
+	return l, s.leaderRows[service], ok
+}
+
+// Registered returns the hosts that registered in the store, by name.
+func (m *Mirror) Registered() map[string]host.Host {
+	return m.now.Load().registrations
+}
+
+// RegisteredRow returns the version of the row of a host's registration; 0
+// without one.
+func (m *Mirror) RegisteredRow(name string) uint64 {
+	return m.now.Load().registeredRows[name]
+}
+
+// AsOf returns when the store was asked for the newest state of a table that
+// is known, on the clock of uptime; 0 before the first.
+func (m *Mirror) AsOf(name string) time.Duration {
+	t := m.tables[name]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.asOf
+}
+
+// Version returns the store's version that the copy of a table shows.
+func (m *Mirror) Version(name string) uint64 {
+	t := m.tables[name]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// Age returns how old the copy of a table is; a very long time before the
+// first.
+func (m *Mirror) Age(name string) time.Duration {
+	t := m.tables[name]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.version == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return uptime.Now() - t.asOf
+}
+
+// Copy returns the rows of a table, their version and when the store was asked
+// for them.
+func (m *Mirror) Copy(name string) (rows []tuple.Tuple, version uint64, asOf time.Duration) {
+	t := m.tables[name]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows = make([]tuple.Tuple, 0, len(t.rows))
+	for _, r := range t.rows {
+		rows = append(rows, r)
+	}
+	return rows, t.version, t.asOf
+}
+
+// Replace takes a whole table as it was at a version of the store. Older
+// copies are ignored, so that nothing ever goes back.
+func (m *Mirror) Replace(name string, rows []tuple.Tuple, version uint64, asOf time.Duration) {
+	t, ok := m.tables[name]
+	if !ok || version == 0 {
+		return
+	}
+	if t.replace(rows, version, asOf) {
+		m.rebuild()
+	}
+}
+
+// Patch takes the rows of a table that changed between two versions.
+func (m *Mirror) Patch(name string, rows []tuple.Tuple, after, version uint64, asOf time.Duration) {
+	t, ok := m.tables[name]
+	if !ok {
+		return
+	}
+	if t.patch(rows, after, version, asOf) {
+		m.rebuild()
+	}
+}
+
+// Confirm notes that another host, which asked the store at asOf, saw the
+// content of that digest at a version.
+func (m *Mirror) Confirm(name string, digest, version uint64, asOf time.Duration) {
+	t, ok := m.tables[name]
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.version == 0 || digest != t.digest() {
+		return
+	}
+	t.version = max(t.version, version)
+	t.asOf = max(t.asOf, asOf)
+}
+
+// Digest returns a number that two copies share when their rows are the same,
+// with their version and when the store was asked.
+func (m *Mirror) Digest(name string) (digest, version uint64, asOf time.Duration) {
+	t := m.tables[name]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.digest(), t.version, t.asOf
+}
+
+// digest sums up the rows' keys and versions; the order does not matter.
+func (t *table) digest() uint64 {
+	var sum uint64
+	for key, r := range t.rows {
+		sum += xxhash.Sum64String(key) * (2*r.Version + 1)
+	}
+	return sum
+}
+
+func (t *table) replace(rows []tuple.Tuple, version uint64, asOf time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version < t.version {
+		return false
+	}
+	same := len(rows) == len(t.rows)
+	next := make(map[string]tuple.Tuple, len(rows))
+	for _, r := range rows {
+		next[r.Key] = r
+		same = same && t.rows[r.Key].Version == r.Version
+	}
+	t.rows = next
+	t.version = version
+	t.asOf = max(t.asOf, asOf)
+	return !same
+}
+
+func (t *table) patch(rows []tuple.Tuple, after, version uint64, asOf time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if after > t.version || version < t.version {
+		return false
+	}
+	changed := false
+	for _, r := range rows {
+		if r.Version <= t.rows[r.Key].Version {
+			continue
+		}
+		changed = true
+		if r.Deleted {
+			delete(t.rows, r.Key)
+			continue
+		}
+		t.rows[r.Key] = r
+	}
+	t.version = version
+	t.asOf = max(t.asOf, asOf)
+	return changed
+}
--- /dev/null
+++ b/internal/services/pulse/pulse.go
@@ -0,0 +1,170 @@
+// Package pulse asks primaries for their positions while no traffic does, so
+// that reads can run on replicas and a primary that is gone is noticed.
+package pulse
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/models/report"
+	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
+	"wasabislip.example/wasabislip/internal/services/dbview"
+	"wasabislip.example/wasabislip/internal/services/probe"
+)
+
+const (
+	// every is the time between two looks.
+	every = 100 * time.Millisecond
+	// fresh is how old the newest position of a primary may be before the
+	// first host in the ranking asks for it; each host after it waits as long
+	// again. It leaves most of the freshness bounds, 1.5 s and more, for
+	// gossip and for the lag of replicas.
+	fresh = 350 * time.Millisecond
+	// probers is how many hosts ask at most, where the first ones can't.
+	probers = 3
+	// proofAge is the age of the fleet's table at which replicas are asked
+	// whether they still follow the primary: the store does not answer.
+	proofAge = 1200 * time.Millisecond
+)
+
+// directory tells which services and instances there are.
+type directory interface {
+	Services() []string
+	Servers(service string) []server.Server
+	Server(id string) (server.Server, bool)
+	Age(name string) time.Duration
+}
+
+// groups are the beliefs about services.
+type groups interface {
+	View(service string) *dbview.View
+}
+
+// ranker tells how many live hosts come before this one for a duty.
+type ranker interface {
+	Rank(duty string) int
+}
+
+// Pulse asks. Its Run keeps one goroutine for each service that it asks about.
+type Pulse struct {
+	directory directory
+	groups    groups
+	ranker    ranker
+	prober    *probe.Prober
+	fleet     string
+	busy      map[string]chan struct{}
+}
+
+// New returns a pulse; fleet is the name of the table that renews leases.
+func New(d directory, g groups, r ranker, p *probe.Prober, fleet string) *Pulse {
+	return &Pulse{
+		directory: d,
+		groups:    g,
+		ranker:    r,
+		prober:    p,
+		fleet:     fleet,
+		busy:      map[string]chan struct{}{},
+	}
+}
+
+// Run asks until ctx ends.
+func (p *Pulse) Run(ctx context.Context) {
+	var parts conc.WaitGroup
+	defer parts.Wait()
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			p.look(ctx, &parts)
+			p.prober.Trim()
+		}
+	}
+}
+
+// look starts a round for each service that needs one and has none under way.
+func (p *Pulse) look(ctx context.Context, parts *conc.WaitGroup) {
+	for _, service := range p.directory.Services() {
+		if c := p.busy[service]; c != nil {
+			select {
+			case <-c:
+			default:
+				continue
+			}
+		}
+		rank := p.ranker.Rank("pulse/" + service)
+		if rank >= probers {
+			continue
+		}
+		c := make(chan struct{})
+		p.busy[service] = c
+		parts.Go(func() {
+			defer close(c)
+			p.round(ctx, service, rank)
+		})
+	}
+}
+
+func (p *Pulse) round(ctx context.Context, service string, rank int) {
+	v := p.groups.View(service)
+	l, _ := v.Leading()
+	s, ok := p.directory.Server(l.Primary)
+	if !ok {
+		return
+	}
+	asked, _, known := v.Newest()
+	stale := fresh * time.Duration(rank+1)
+	if !known || uptime.Now()-asked > stale {
+		p.position(ctx, v, s)
+	}
+	if p.directory.Age(p.fleet) > proofAge {
+		p.prove(ctx, v, s)
+	}
+}
+
+// position asks the primary where its log ends.
+func (p *Pulse) position(ctx context.Context, v *dbview.View, s server.Server) {
+	asked := uptime.Now()
+	r, outcome, err := p.prober.Status(ctx, s)
+	if err != nil {
+		v.Failed(s.ID)
+		return
+	}
+	v.Alive(s.ID)
+	if outcome == reply.Done && r.Primary {
+		v.Position(s.ID, asked, r.Received)
+	}
+}
+
+// prove asks all replicas whether they still follow the primary. A host that
+// promotes one of them holds it first, so that nobody was promoted when all
+// said that they are not held.
+func (p *Pulse) prove(ctx context.Context, v *dbview.View, primary server.Server) {
+	asked := uptime.Now()
+	lead, outcome, err := p.prober.Status(ctx, primary)
+	if err != nil || outcome != reply.Done || !lead.Primary {
+		return
+	}
+	for _, s := range p.directory.Servers(v.Service()) {
+		if s.ID == primary.ID {
+			continue
+		}
+		r, outcome, err := p.prober.Status(ctx, s)
+		if err != nil || outcome != reply.Done || !follows(r, lead) {
+			klog.V(1).InfoS("no proof of the primary", "service", v.Service(), "primary", primary.ID, "replica", s.ID)
+			return
+		}
+	}
+	v.Proven(primary.ID, asked)
+}
+
+func follows(r, lead report.Report) bool {
+	return !r.Primary && r.HeldTerm == 0 && r.Term <= lead.Term
+}
--- /dev/null
+++ b/internal/services/talk/single.go
@@ -0,0 +1,308 @@
+package talk
+
+import (
+	"context"
+	"time"
+
+	"wasabislip.example/wasabislip/internal/models/query"
+	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
+	"wasabislip.example/wasabislip/internal/services/dbview"
+	"wasabislip.example/wasabislip/pkg/model/fault"
+	"wasabislip.example/wasabislip/pkg/model/logpos"
+	"wasabislip.example/wasabislip/pkg/model/route"
+)
+
+const (
+	// queuePart is the part of the time in which a caller expects the answer
+	// that a statement may wait for a connection. What waits longer is late
+	// anyway and keeps others from being in time.
+	queuePart = 0.25
+	// changePart is the part of a statement's time for which it waits for a
+	// new primary; a change takes about a second, and a caller that is sent
+	// away comes back too soon.
+	changePart = 0.33
+	// changePoll is how often a waiting statement looks for the new primary.
+	changePoll = 20 * time.Millisecond
+	// hedgeAfter is how long a read stays unanswered before another instance
+	// is asked beside the first: some times the usual work of a read.
+	hedgeAfter = 150 * time.Millisecond
+	// maxTries bounds the instances that one statement is offered to.
+	maxTries = 4
+	// busyAfter is when callers are told to come back to a busy instance: a
+	// few statements later.
+	busyAfter = 50 * time.Millisecond
+	// changeAfter is when callers are told to come back when there is no
+	// primary.
+	changeAfter = 300 * time.Millisecond
+)
+
+// queueWait is how long a statement of a lane may wait for a connection.
+func (g grant) queueWait() time.Duration {
+	return time.Duration(float64(g.lane.Target) * queuePart)
+}
+
+// awaitPrimary returns the primary, and waits a while for one when there is
+// none.
+func (s *Session) awaitPrimary(ctx context.Context, v *dbview.View, g grant) (server.Server, *reply.Reply) {
+	limit := time.Now().Add(time.Duration(float64(g.lane.Timeout) * changePart))
+	for {
+		p, reason := v.Primary()
+		if reason == "" {
+			return p, nil
+		}
+		if reason == "primary-unreachable" || time.Now().After(limit) || ctx.Err() != nil {
+			return p, s.refusal(reply.Busy, reason, "there is no primary to run the statement", changeAfter)
+		}
+		time.Sleep(changePoll)
+	}
+}
+
+// write runs a write outside of a transaction. It is sent once.
+func (s *Session) write(ctx context.Context, g grant, q query.Query) reply.Reply {
+	v := s.Groups.View(g.lane.Service)
+	deadline := time.Now().Add(g.lane.Timeout)
+	to, refusal := s.awaitPrimary(ctx, v, g)
+	if refusal != nil {
+		return *refusal
+	}
+	a := s.try(v, to, g, g.queueWait(), deadline)
+	r, err := a.run(ctx, q, s.values, s.prepared[q.Name].Value, logpos.Position{})
+	if err != nil {
+		return s.writeFailure(a, err)
+	}
+	return s.settleWrite(v, to, r)
+}
+
+// writeFailure answers a write that got no answer.
+func (s *Session) writeFailure(a *attempt, err error) reply.Reply {
+	if !a.sent {
+		return *s.refusal(reply.Busy, "not-sent", err.Error(), busyAfter)
+	}
+	return *s.refusal(reply.InDoubt, "no-answer", "instance "+a.server.ID+" did not answer; the write may have run: "+err.Error(), 0)
+}
+
+// settleWrite decides what the caller hears of a write that was answered: a
+// success only of an instance that still led when the answer came, or that
+// stopped before its successor started.
+func (s *Session) settleWrite(v *dbview.View, from server.Server, r reply.Reply) reply.Reply {
+	if r.Outcome != reply.Done {
+		return s.instanceRefusal(r)
+	}
+	if !v.Certain(from.ID) && !v.Handover(from.ID) {
+		return *s.refusal(reply.InDoubt, "superseded", "instance "+from.ID+" answered, but it may have been replaced; the write may be lost", 0)
+	}
+	if r.Position.Newer(s.own) {
+		s.own = r.Position
+	}
+	return r
+}
+
+// instanceRefusal passes on an instance's refusal with when to come back.
+func (s *Session) instanceRefusal(r reply.Reply) reply.Reply {
+	s.Meter.Refused("instance")
+	if r.NotRun() && r.RetryAfter == 0 {
+		r.RetryAfter = busyAfter
+	}
+	return r
+}
+
+// read runs a read outside of a transaction, on a replica where the lane's
+// freshness allows it.
+func (s *Session) read(ctx context.Context, g grant, q query.Query) reply.Reply {
+	x := &reading{
+		session:  s,
+		grant:    g,
+		view:     s.Groups.View(g.lane.Service),
+		query:    q,
+		values:   s.values,
+		prepared: s.prepared[q.Name].Value,
+		arrived:  uptime.Now(),
+		deadline: time.Now().Add(g.lane.Timeout),
+		tried:    map[string]bool{},
+		answers:  make(chan answer, 2*maxTries),
+	}
+	return x.run(ctx)
+}
+
+// reading is one read on its way: it may be offered to several instances.
+type reading struct {
+	session  *Session
+	grant    grant
+	view     *dbview.View
+	query    query.Query
+	values   map[string]string
+	prepared string
+	arrived  time.Duration
+	deadline time.Time
+	// tried are the instances that were offered the read.
+	tried map[string]bool
+	// full tells that some had no connection free; queued, that the read has
+	// waited for one.
+	full    bool
+	queued  bool
+	tries   int
+	running int
+	answers chan answer
+	last    reply.Reply
+}
+
+// answer is what one instance answered to a read.
+type answer struct {
+	server server.Server
+	reply  reply.Reply
+	err    error
+}
+
+func (x *reading) run(ctx context.Context) reply.Reply {
+	refusal := x.next(ctx, true)
+	if refusal != nil {
+		return *refusal
+	}
+	hedge := time.NewTimer(x.hedgeAfter())
+	defer hedge.Stop()
+	for {
+		select {
+		case a := <-x.answers:
+			x.running--
+			if r, ok := x.accept(a); ok {
+				return r
+			}
+			if refusal := x.next(ctx, x.running == 0); refusal != nil && x.running == 0 {
+				return x.result(refusal)
+			}
+		case <-hedge.C:
+			_ = x.next(ctx, false) // without another instance the first goes on alone
+		}
+	}
+}
+
+func (x *reading) hedgeAfter() time.Duration {
+	return min(max(hedgeAfter, x.grant.lane.Target/2), x.grant.lane.Timeout/2)
+}
+
+// result is the answer after the last try: what an instance said, or why no
+// other could be asked.
+func (x *reading) result(refusal *reply.Reply) reply.Reply {
+	if x.last.Outcome != reply.Done {
+		return x.session.instanceRefusal(x.last)
+	}
+	return *refusal
+}
+
+// accept reports whether the answer ends the read.
+func (x *reading) accept(a answer) (reply.Reply, bool) {
+	if a.err != nil {
+		x.full = x.full || fault.IsKind(a.err, fault.Overloaded)
+		return reply.Reply{}, false
+	}
+	if a.reply.Outcome != reply.Done {
+		x.last = a.reply
+		return a.reply, !a.reply.NotRun() && a.reply.Outcome != reply.Failed
+	}
+	if x.fresh(a.server) {
+		x.session.Meter.Read(x.onReplica(a.server))
+		return a.reply, true
+	}
+	return reply.Reply{}, false
+}
+
+// fresh reports whether an answer is surely as fresh as the lane asks for: a
+// replica was given the floor, a primary must still lead.
+func (x *reading) fresh(from server.Server) bool {
+	if x.onReplica(from) {
+		return true
+	}
+	return x.view.Certain(from.ID)
+}
+
+func (x *reading) onReplica(s server.Server) bool {
+	l, _ := x.view.Leading()
+	return x.grant.lane.Freshness != route.Primary && s.ID != l.Primary && s.ID != l.Former
+}
+
+// next offers the read to another instance; a refusal says why there is none.
+// Only a patient read waits for a primary or a free connection.
+func (x *reading) next(ctx context.Context, patient bool) *reply.Reply {
+	if x.tries >= maxTries || time.Now().After(x.deadline) {
+		return x.session.refusal(reply.Aborted, "no-answer", "no instance answered the read in time", busyAfter)
+	}
+	to, floor, found := x.choose()
+	wait := time.Duration(0)
+	if !found && patient && x.grant.lane.Freshness != route.Primary && x.full && !x.queued {
+		x.queued = true
+		clear(x.tried)
+		to, floor, found = x.choose()
+		wait = x.grant.queueWait()
+	}
+	if !found {
+		var refusal *reply.Reply
+		to, refusal = x.primary(ctx, patient)
+		if refusal != nil {
+			return refusal
+		}
+		wait = x.grant.queueWait()
+	}
+	x.offer(ctx, to, floor, wait)
+	return nil
+}
+
+// offer sends the read to one instance, beside the others that have it.
+func (x *reading) offer(ctx context.Context, to server.Server, floor logpos.Position, wait time.Duration) {
+	x.tries++
+	x.tried[to.ID] = true
+	x.running++
+	a := x.session.try(x.view, to, x.grant, wait, x.deadline)
+	go func() {
+		r, err := a.run(ctx, x.query, x.values, x.prepared, floor)
+		x.answers <- answer{
+			server: to,
+			reply:  r,
+			err:    err,
+		}
+	}()
+}
+
+// choose picks the instance that the read is offered to next where its lane
+// lets it run on replicas, and the position that the log must hold.
+func (x *reading) choose() (server.Server, logpos.Position, bool) {
+	if x.grant.lane.Freshness == route.Primary {
+		return server.Server{}, logpos.Position{}, false
+	}
+	floor, ok := x.view.Floor(x.arrived-x.grant.lane.MaxAge, x.session.own)
+	if !ok {
+		return server.Server{}, logpos.Position{}, false
+	}
+	for _, s := range x.view.Readers(floor) {
+		if !x.tried[s.ID] {
+			return s, x.needs(s, floor), true
+		}
+	}
+	return server.Server{}, logpos.Position{}, false
+}
+
+// primary returns the primary where the read may still be offered to it.
+func (x *reading) primary(ctx context.Context, patient bool) (server.Server, *reply.Reply) {
+	if !patient {
+		to, reason := x.view.Primary()
+		if reason != "" || x.tried[to.ID] {
+			return to, x.session.refusal(reply.Busy, "no-instance", "no other instance can run the read", busyAfter)
+		}
+		return to, nil
+	}
+	to, refusal := x.session.awaitPrimary(ctx, x.view, x.grant)
+	if refusal == nil && x.tried[to.ID] {
+		refusal = x.session.refusal(reply.Busy, "no-instance", "no instance can run the read now", busyAfter)
+	}
+	return to, refusal
+}
+
+// needs returns the position to ask of an instance: the primary holds its own
+// log.
+func (x *reading) needs(to server.Server, floor logpos.Position) logpos.Position {
+	if x.onReplica(to) {
+		return floor
+	}
+	return logpos.Position{}
+}
--- /dev/null
+++ b/internal/services/talk/tx.go
@@ -0,0 +1,290 @@
+package talk
+
+import (
+	"context"
+	"time"
+
+	"wasabislip.example/wasabislip/internal/models/query"
+	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
+	"wasabislip.example/wasabislip/pkg/model/logpos"
+	"wasabislip.example/wasabislip/pkg/model/route"
+)
+
+// evacuationLimit is how long a transaction may go on at an instance whose
+// data centre was taken out; it is below the bound for evacuations, 5 s, by
+// what it takes to hear of one and to end a statement.
+const evacuationLimit = 3 * time.Second
+
+// transaction is the open transaction of a session. Its connection is taken at
+// its first statement and kept until it ends.
+type transaction struct {
+	grant    grant
+	readOnly bool
+	arrived  time.Duration
+	// attempt holds the connection; nil before the first statement and after
+	// the transaction was ended.
+	attempt *attempt
+	// primary tells that the transaction runs on the primary.
+	primary bool
+	wrote   bool
+	// broken transactions can only be ended.
+	broken bool
+	// ended is why the proxy ended the transaction, until the caller heard.
+	ended *reply.Reply
+	// evacuated is since when the instance's data centre is taken out.
+	evacuated time.Time
+	// leave notes the end on the primary.
+	leave func()
+}
+
+func (s *Session) begin(q query.Query) reply.Reply {
+	if s.tx != nil {
+		return *s.refusal(reply.Malformed, "in-transaction", "a transaction is open already", 0)
+	}
+	g, refusal := s.admit()
+	if refusal != nil {
+		return *refusal
+	}
+	s.tx = &transaction{
+		grant:    g,
+		readOnly: q.ReadOnly,
+		arrived:  uptime.Now(),
+	}
+	return done(reply.Open)
+}
+
+// inside runs a statement of the open transaction.
+func (s *Session) inside(ctx context.Context, q query.Query, writes bool) reply.Reply {
+	if refusal := s.revalidate(); refusal != nil {
+		s.abort(refusal)
+		s.tx.ended = nil
+		return *refusal
+	}
+	deadline := time.Now().Add(s.tx.grant.lane.Timeout)
+	if s.tx.attempt == nil {
+		if refusal := s.pin(ctx, deadline); refusal != nil {
+			s.tx.broken = true
+			return *refusal
+		}
+	}
+	r, err := s.pass(q, deadline)
+	if err != nil {
+		s.tx.drop()
+		s.tx.broken = true
+		return *s.refusal(reply.Aborted, "no-answer", "the instance did not answer; the transaction is rolled back: "+err.Error(), busyAfter)
+	}
+	if writes && r.Outcome == reply.Done {
+		s.tx.wrote = true
+	}
+	if r.Outcome != reply.Done {
+		s.tx.broken = r.State != reply.Open
+		return s.instanceRefusal(r)
+	}
+	if s.tx.primary && !s.tx.attempt.led() {
+		s.abort(nil)
+		return *s.refusal(reply.Aborted, "superseded", "the primary may have been replaced; the transaction is rolled back", changeAfter)
+	}
+	return r
+}
+
+// led reports whether the instance still led when it answered, or hands over
+// as planned.
+func (a *attempt) led() bool {
+	return a.view.Certain(a.server.ID) || a.view.Handover(a.server.ID)
+}
+
+// revalidate checks that the open transaction may still run statements.
+func (s *Session) revalidate() *reply.Reply {
+	p := s.Directory.Policy()
+	if workspace, ok := p.Owners[s.Key]; s.tx.grant.workspace != "" && (!ok || workspace != s.tx.grant.workspace) {
+		return s.refusal(reply.KeyRefused, "key-withdrawn", "the key was withdrawn; the transaction is rolled back", 0)
+	}
+	if s.tx.attempt == nil || !s.Directory.Evacuated(s.tx.attempt.server.DataCentre) {
+		s.tx.evacuated = time.Time{}
+		return nil
+	}
+	if s.tx.evacuated.IsZero() {
+		s.tx.evacuated = time.Now()
+	}
+	if time.Since(s.tx.evacuated) < evacuationLimit {
+		return nil
+	}
+	return s.refusal(reply.Aborted, "evacuated", "the instance's data centre was taken out; the transaction is rolled back", busyAfter)
+}
+
+// pin starts the transaction at an instance.
+func (s *Session) pin(ctx context.Context, deadline time.Time) *reply.Reply {
+	g := s.tx.grant
+	if s.tx.readOnly && g.lane.Freshness != route.Primary {
+		if s.pinReplica(ctx, deadline) {
+			return nil
+		}
+	}
+	v := s.Groups.View(g.lane.Service)
+	to, refusal := s.awaitPrimary(ctx, v, g)
+	if refusal != nil {
+		return refusal
+	}
+	a := s.try(v, to, g, g.queueWait(), deadline)
+	v.Enter()
+	s.tx.leave = v.Leave
+	r, err := s.start(ctx, a, logpos.Position{})
+	if err != nil {
+		s.tx.leave()
+		s.tx.leave = nil
+		return s.refusal(reply.Busy, "not-started", err.Error(), busyAfter)
+	}
+	if r.Outcome != reply.Done {
+		s.tx.leave()
+		s.tx.leave = nil
+		r = s.instanceRefusal(r)
+		return &r
+	}
+	s.tx.primary = true
+	return nil
+}
+
+// pinReplica starts a read-only transaction at a replica; false when none can
+// run it.
+func (s *Session) pinReplica(ctx context.Context, deadline time.Time) bool {
+	g := s.tx.grant
+	v := s.Groups.View(g.lane.Service)
+	floor, ok := v.Floor(s.tx.arrived-g.lane.MaxAge, s.own)
+	if !ok {
+		return false
+	}
+	l, _ := v.Leading()
+	for i, to := range v.Readers(floor) {
+		if to.ID == l.Primary || i >= maxTries {
+			return false
+		}
+		r, err := s.start(ctx, s.try(v, to, g, 0, deadline), floor)
+		if err == nil && r.Outcome == reply.Done {
+			return true
+		}
+	}
+	return false
+}
+
+// start opens the transaction at the attempt's instance. The statements follow
+// only after its answer: they must not run outside of it.
+func (s *Session) start(ctx context.Context, a *attempt, floor logpos.Position) (reply.Reply, error) {
+	if err := a.connect(ctx, s.values); err != nil {
+		return reply.Reply{}, err
+	}
+	a.asked = uptime.Now()
+	a.conn.Begin(s.tx.readOnly, floor)
+	if err := a.conn.Flush(a.deadline); err != nil {
+		a.view.Failed(a.server.ID)
+		a.release(false)
+		return reply.Reply{}, err
+	}
+	r, err := a.receive()
+	if err != nil || r.Outcome != reply.Done {
+		a.release(err == nil && r.State == reply.Idle)
+		return r, err
+	}
+	s.tx.attempt = a
+	return r, nil
+}
+
+// pass runs one statement on the transaction's connection.
+func (s *Session) pass(q query.Query, deadline time.Time) (reply.Reply, error) {
+	a := s.tx.attempt
+	a.deadline = deadline
+	a.conn.Adopt(s.values)
+	if err := a.send(q, s.prepared[q.Name].Value, logpos.Position{}); err != nil {
+		a.view.Failed(a.server.ID)
+		return reply.Reply{}, err
+	}
+	return a.receive()
+}
+
+// commit ends the transaction and keeps its writes.
+func (s *Session) commit(ctx context.Context, q query.Query) reply.Reply {
+	if s.tx == nil {
+		return *s.refusal(reply.Malformed, "no-transaction", "no transaction is open", 0)
+	}
+	defer func() {
+		s.tx = nil
+	}()
+	if s.tx.broken {
+		s.tx.release(true)
+		return *s.refusal(reply.Aborted, "transaction-failed", "the transaction failed and is rolled back", 0)
+	}
+	if refusal := s.revalidate(); refusal != nil {
+		s.tx.release(true)
+		return *refusal
+	}
+	deadline := time.Now().Add(s.tx.grant.lane.Timeout)
+	if s.tx.attempt == nil {
+		if refusal := s.pin(ctx, deadline); refusal != nil {
+			return *refusal
+		}
+	}
+	return s.finish(q, deadline)
+}
+
+// finish sends the commit and decides what its answer means.
+func (s *Session) finish(q query.Query, deadline time.Time) reply.Reply {
+	a := s.tx.attempt
+	r, err := s.pass(q, deadline)
+	if err != nil {
+		wrote := s.tx.wrote
+		s.tx.drop()
+		if wrote {
+			return *s.refusal(reply.InDoubt, "no-answer", "the instance did not answer the commit; it may have run: "+err.Error(), 0)
+		}
+		return *s.refusal(reply.Aborted, "no-answer", "the instance did not answer; nothing was written: "+err.Error(), busyAfter)
+	}
+	s.tx.end(r.State == reply.Idle)
+	if r.Outcome != reply.Done || !s.tx.wrote {
+		if r.Outcome != reply.Done {
+			return s.instanceRefusal(r)
+		}
+		return r
+	}
+	return s.settleWrite(a.view, a.server, r)
+}
+
+// rollback ends the transaction and drops its writes. The caller need not wait
+// for the instance.
+func (s *Session) rollback() reply.Reply {
+	if s.tx == nil {
+		return *s.refusal(reply.Malformed, "no-transaction", "no transaction is open", 0)
+	}
+	s.tx.release(true)
+	s.tx = nil
+	return done(reply.Idle)
+}
+
+// release rolls the transaction back at its instance and gives the connection
+// back.
+func (t *transaction) release(usable bool) {
+	if t.attempt == nil {
+		return
+	}
+	c := t.attempt.conn
+	c.Rollback()
+	c.Spoil()
+	err := c.Flush(time.Now().Add(time.Second))
+	t.end(usable && err == nil)
+}
+
+// drop closes the connection.
+func (t *transaction) drop() {
+	t.end(false)
+}
+
+// end gives the connection back without a word to the instance.
+func (t *transaction) end(usable bool) {
+	if t.attempt != nil {
+		t.attempt.release(usable)
+		t.attempt = nil
+	}
+	if t.leave != nil {
+		t.leave()
+		t.leave = nil
+	}
+}
