--- a/internal/models/share/share.go
+++ b/internal/models/share/share.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// evenPart is the part of a rate that is divided evenly, so that a host
-	// which nobody asked yet can admit the first operations at once. The
-	// rest follows demand.
-	evenPart = 0.3
+	// evenPart is the part of an exceeded rate that is divided evenly, so that
+	// a host which nobody asked yet can admit some operations at once.
+	evenPart = 0.1
 	// demandScale is the number of steps for each doubling of a demand in
 	// its one-byte form.
 	demandScale = 8
@@ -54,15 +53,17 @@
 	s.last = now
 }
 
-// Part returns the part, 0 to 1, of a rate that falls to a host with demand
-// own among hosts hosts whose demands sum up to all, its own included. Hosts
-// that know the same demands get parts that sum up to 1.
-func Part(own, all float64, hosts int) float64 {
-	even := 1 / float64(max(hosts, 1))
-	if all <= 0 {
-		return even
+// Part returns a host's part of a rate, where the host's demand is own and
+// those of all hosts, its own included, sum up to all. Below the rate each host
+// gets its demand and an even part of what is spare, so that it can take what
+// its callers send next; above the rate it gets a part by its demand. Hosts
+// that know the same demands get parts that sum up to the rate.
+func Part(rate, own, all float64, hosts int) float64 {
+	n := float64(max(hosts, 1))
+	if all <= rate {
+		return own + (rate-all)/n
 	}
-	return evenPart*even + (1-evenPart)*own/all
+	return rate * (evenPart/n + (1-evenPart)*own/all)
 }
 
 // Pack puts a demand, in operations a second, into one byte.
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -29,10 +29,13 @@
 	borrowedIdle = 250 * time.Millisecond
 	// keptIdle is how long an idle connection within the even part is kept.
 	// It is below the time after which instances close idle connections.
-	keptIdle = 20 * time.Second
+	keptIdle = 250 * time.Millisecond
 	// fullFor is how long the host opens no more connections than it has
 	// after the instance refused one.
 	fullFor = 200 * time.Millisecond
+	// fullPause is the pause before another try after the instance refused a
+	// connection: about the time that one statement holds one.
+	fullPause = 15 * time.Millisecond
 	// dialTimeout bounds a connect, which takes a round trip and some ten
 	// milliseconds of a slot.
 	dialTimeout = 600 * time.Millisecond
@@ -92,6 +95,17 @@
 // there is one. It waits for one up to wait; a fault of the kind overloaded
 // says that there was none.
 func (p *Pool) Get(ctx context.Context, workspace string, values map[string]string, priority int, wait time.Duration) (*pconn.Conn, error) {
+	until := time.Now().Add(wait)
+	for {
+		c, err := p.get(ctx, workspace, values, priority, time.Until(until))
+		if !fault.IsKind(err, fault.Overloaded) || time.Until(until) < fullPause || ctx.Err() != nil {
+			return c, err
+		}
+		time.Sleep(fullPause) // other hosts give connections back all the time
+	}
+}
+
+func (p *Pool) get(ctx context.Context, workspace string, values map[string]string, priority int, wait time.Duration) (*pconn.Conn, error) {
 	c, dial, w, err := p.reserve(workspace, values, priority, wait)
 	if err != nil {
 		return nil, err
--- a/internal/services/mirror/follow.go
+++ b/internal/services/mirror/follow.go
@@ -126,10 +126,18 @@
 			continue
 		}
 		retry = retryLeast
-		pause(ctx, p.every)
+		pause(ctx, max(p.every, m.untilFirst(name)))
 	}
 }
 
+// untilFirst is the pause between two reads of a table that nobody wrote yet.
+func (m *Mirror) untilFirst(name string) time.Duration {
+	if m.Version(name) == 0 {
+		return retryLeast
+	}
+	return 0
+}
+
 // Refresh asks the store once for the newest state of a table.
 func (m *Mirror) Refresh(ctx context.Context, name string) error {
 	p := paces[name]
--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -19,9 +19,9 @@
 	// settleDelay is how long a host uses its own demand as the others may
 	// still know it: about what gossip takes to reach every host.
 	settleDelay = time.Second
-	// burstPart is the part of the declared burst that is given out. The rest
-	// covers the moments in which hosts know different demands.
-	burstPart = 0.6
+	// leastBurst is the burst of a host in a fleet of any size: less would
+	// refuse operations that happen to come together.
+	leastBurst = 2
 )
 
 // Rates admits operations. It is safe for concurrent use.
@@ -149,8 +149,9 @@
 		}
 		w.average(now)
 		own := share.Unpack(share.Pack(w.settled))
-		part := share.Part(own, all+own, len(others)+1)
-		w.bucket.Set(now, declared.Rate*part, max(1, declared.Burst*part*burstPart))
+		hosts := len(others) + 1
+		part := share.Part(declared.Rate, own, all+own, hosts)
+		w.bucket.Set(now, part, max(leastBurst, declared.Burst/float64(hosts)))
 		s.mu.Unlock()
 	}
 }
