--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -4,6 +4,7 @@
 package rates
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -15,7 +16,7 @@
 const (
 	shardCount = 16
 	// window is over how long demand is averaged.
-	window = time.Second
+	window = 3 * time.Second
 	// settleDelay is how long a host uses its own demand as the others may
 	// still know it: about what gossip takes to reach every host.
 	settleDelay = time.Second
@@ -46,6 +47,10 @@
 	demand  float64
 	settled float64
 	changed time.Time
+	// declared, part and elsewhere are what the last division went by.
+	declared  float64
+	part      float64
+	elsewhere float64
 }
 
 // New returns rates that refuse everybody until the first Divide.
@@ -66,25 +71,30 @@
 }
 
 // Admit takes one operation of a workspace from the host's part of its rate.
-// When there is none left, after is when to come back.
-func (r *Rates) Admit(workspace string) (ok bool, after time.Duration) {
+// When there is none left, after is when to come back, and why tells the rate,
+// the host's part of it and what it is asked for, operations a second.
+func (r *Rates) Admit(workspace string) (ok bool, after time.Duration, why string) {
 	s := r.shard(workspace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w, known := s.spaces[workspace]
 	if !known {
-		return false, window
+		return false, window, "its rate is not known yet"
 	}
 	now := time.Now()
 	w.asked++
 	w.average(now)
-	return w.bucket.Take(now)
+	ok, after = w.bucket.Take(now)
+	if !ok {
+		why = fmt.Sprintf("rate %.1f, part %.2f, demand here %.1f, demand elsewhere %.1f", w.declared, w.part, w.demand, w.elsewhere)
+	}
+	return ok, after, why
 }
 
 // average folds the operations asked for since the last call into the demand.
 func (w *space) average(now time.Time) {
 	passed := now.Sub(w.since)
-	if passed < window/4 {
+	if passed < window/8 {
 		return
 	}
 	rate := w.asked / passed.Seconds()
@@ -151,6 +161,9 @@
 		own := share.Unpack(share.Pack(w.settled))
 		hosts := len(others) + 1
 		part := share.Part(declared.Rate, own, all+own, hosts)
+		w.declared = declared.Rate
+		w.part = part
+		w.elsewhere = all
 		w.bucket.Set(now, part, max(leastBurst, declared.Burst/float64(hosts)))
 		s.mu.Unlock()
 	}
--- a/internal/services/talk/talk.go
+++ b/internal/services/talk/talk.go
@@ -40,7 +40,7 @@
 
 // admitter keeps workspaces within their rates.
 type admitter interface {
-	Admit(workspace string) (ok bool, after time.Duration)
+	Admit(workspace string) (ok bool, after time.Duration, why string)
 }
 
 // meter counts what callers got.
@@ -228,8 +228,8 @@
 	if g.workspace == "" {
 		return g, nil // open lanes have no workspace whose rate could count
 	}
-	if ok, after := s.Rates.Admit(g.workspace); !ok {
-		return g, s.refusal(reply.Busy, "over-rate", "the workspace is over its rate", after)
+	if ok, after, why := s.Rates.Admit(g.workspace); !ok {
+		return g, s.refusal(reply.Busy, "over-rate", "the workspace is over its rate: "+why, after)
 	}
 	return g, nil
 }
