Keep taking SIGHUP during a stop

Ruled out: the order of the stop; no session was asked to end by then. Change: the loop lasts as long as the process.

--- a/cmd/wasabislip/edge.go
+++ b/cmd/wasabislip/edge.go
@@ -49,7 +49,7 @@
 	log.Install()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reload(ctx, name, settings)
+	go reload(name, settings)
 	machine := inet.New()
 	h := &edge.Host{
 		Settings:      settings,
@@ -66,18 +66,14 @@
 	return h.Run(ctx)
 }
 
-// reload reads the settings again at each SIGHUP. What a running host uses of
-// them stays the same for its life, so that only a difference is told.
-func reload(ctx context.Context, name string, current *local.Settings) {
+// reload reads the settings again at each SIGHUP, until the process ends: a
+// SIGHUP that nobody takes would kill a host in the middle of its stop. What a
+// running host uses of the settings stays the same for its life, so that only
+// a difference is told.
+func reload(name string, current *local.Settings) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		}
+	for range hup {
 		next, err := local.Load(name)
 		if err != nil {
 			klog.ErrorS(err, "the settings can't be reloaded; those of the start stay in force")
