Give out what a window of the rate allows; end sessions that another host serves better

Change 3: a host that can't use a primary refuses at once and ends the session, since retries on a session come back to the same host.

--- a/internal/models/share/share.go
+++ b/internal/models/share/share.go
@@ -25,8 +25,12 @@
 	last   time.Time
 }
 
-// Set changes the host's part. A bucket starts with no token and fills up.
+// Set changes the host's part. A new bucket is half full: a host that starts
+// may not know what its former process spent.
 func (s *Share) Set(now time.Time, rate, burst float64) {
+	if s.last.IsZero() {
+		s.tokens = burst / 2
+	}
 	s.fill(now)
 	s.rate = rate
 	s.burst = burst
--- a/internal/modules/local/local.go
+++ b/internal/modules/local/local.go
@@ -43,6 +43,13 @@
 	OrderAddress string `yaml:"order-address"`
 	// Grace is how long a planned stop may take.
 	Grace time.Duration `yaml:"grace"`
+	// RateWindow is the time in which operators count a workspace's rate and
+	// burst.
+	RateWindow time.Duration `yaml:"rate-window"`
+	// RateOverage is the part by which a window may exceed them, and
+	// RateTolerance the number of operations.
+	RateOverage   float64 `yaml:"rate-overage"`
+	RateTolerance float64 `yaml:"rate-tolerance"`
 	// Memory is the limit of the process, in MB.
 	Memory int `yaml:"memory-mb"`
 	// Files is how many descriptors the process may have.
@@ -104,6 +111,9 @@
 	if s.Grace < leastGrace {
 		f.Refuse("grace", "is too short for an orderly stop", "use 1s or more")
 	}
+	if s.RateWindow < time.Second {
+		f.Refuse("rate-window", "is too short to count in", "use 1s or more")
+	}
 	if s.Memory < leastMemory {
 		f.Refuse("memory-mb", "is too little", "use 32 or more")
 	}
--- a/internal/routers/edge/caller.go
+++ b/internal/routers/edge/caller.go
@@ -24,6 +24,10 @@
 	// filesPart is the part of the descriptors that callers may use; the rest
 	// is for instances, other hosts and the platform.
 	filesPart = 0.7
+	// policyWait is how long a caller that comes before the first
+	// configuration is kept waiting; callers give up after two seconds.
+	policyWait = 1500 * time.Millisecond
+	policyPoll = 20 * time.Millisecond
 	// acceptPause is the pause after a failed accept.
 	acceptPause = 20 * time.Millisecond
 )
@@ -120,6 +124,7 @@
 		Database:  database,
 		Key:       key,
 	}
+	x.host.awaitPolicy()
 	_ = x.wire.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if r := x.session.Open(); r.Outcome != reply.Done {
 		_ = x.wire.Refuse(&r) // the caller may be gone; nothing ran
@@ -128,6 +133,14 @@
 	return x.wire.Welcome() == nil
 }
 
+// awaitPolicy waits a while for the first configuration after a start.
+func (h *Host) awaitPolicy() {
+	limit := time.Now().Add(policyWait)
+	for h.mirror.Policy() == nil && time.Now().Before(limit) {
+		time.Sleep(policyPoll)
+	}
+}
+
 // next waits for a statement, runs it and answers; false when the session is
 // over.
 func (x *caller) next(ctx context.Context) bool {
@@ -150,7 +163,7 @@
 		return false
 	}
 	x.setBusy(false)
-	return true
+	return !x.session.Leaves()
 }
 
 // rest sets how long the session may wait for its next statement; false when
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -38,6 +38,9 @@
 const (
 	// divideEvery is the time between two divisions of the workspaces' rates.
 	divideEvery = 200 * time.Millisecond
+	// settleTime is how long after its start a host may not have heard of all
+	// others: some rounds of gossip.
+	settleTime = 2 * time.Second
 	// memoryPart is the part of the memory limit at which the collector works
 	// harder; the rest is for stacks and for what the kernel counts.
 	memoryPart = 0.7
@@ -136,9 +139,15 @@
 	return l.census.RegisteredSince()
 }
 
-// Size returns how many hosts share the instances' connections.
+// Size returns how many hosts share the instances' connections and the
+// workspaces' rates. Soon after the start few were heard, but all are
+// registered.
 func (h *Host) Size() int {
-	return len(h.gossip.Alive()) + 1
+	heard := len(h.gossip.Alive()) + 1
+	if time.Since(h.started) < settleTime {
+		return max(heard, len(h.mirror.Registered()))
+	}
+	return heard
 }
 
 func (h *Host) build() {
@@ -157,7 +166,11 @@
 	h.groups = groups.New(func(service string) *dbview.View {
 		return dbview.New(service, self.DataCentre, mirror.Fleet, h.mirror, registry)
 	})
-	h.rates = rates.New()
+	h.rates = &rates.Rates{
+		Window:    h.Settings.RateWindow,
+		Overage:   h.Settings.RateOverage,
+		Tolerance: h.Settings.RateTolerance,
+	}
 	h.gossip = gossip.New(self, h.Settings.SeedList(), h.mirror, h.groups, h.rates, h.Network.Dial)
 	rank.gossip = h.gossip
 	h.census = census.New(self, h.mirror, h.Store, h.gossip)
@@ -258,7 +271,7 @@
 		case <-t.C:
 		}
 		if p := h.mirror.Policy(); p != nil {
-			h.rates.Divide(p, h.gossip.Others(p.Version))
+			h.rates.Divide(p, h.gossip.Others(p.Version), h.Size())
 		}
 	}
 }
--- a/internal/services/change/change.go
+++ b/internal/services/change/change.go
@@ -23,7 +23,7 @@
 	every = 100 * time.Millisecond
 	// silentFor is how long a primary has answered no host before it counts
 	// as gone: several probes and the statements of all hosts.
-	silentFor = 1100 * time.Millisecond
+	silentFor = 900 * time.Millisecond
 	// cutPart is the part of the hosts that can't reach a primary at which it
 	// is replaced although others reach it.
 	cutPart = 0.6
@@ -33,6 +33,9 @@
 	// missingFor is how long the entry of a primary that still answers is gone
 	// before it is replaced.
 	missingFor = time.Second
+	// touchAge is the age of the fleet's table past which this host counts as
+	// cut off: the copy is usually renewed twice a second.
+	touchAge = 1500 * time.Millisecond
 	// turn is how much longer each host waits than the one before it in the
 	// ranking.
 	turn = 1200 * time.Millisecond
@@ -55,6 +58,7 @@
 	Registered() map[string]host.Host
 	Reread(ctx context.Context, name string) error
 	StoreAnswers() bool
+	Age(name string) time.Duration
 }
 
 // writer is the platform's store.
@@ -124,9 +128,10 @@
 	running chan struct{}
 	cause   cause
 	since   time.Duration
+	pause   time.Duration
+	// version is the record's row as it was last seen, and seen since when.
 	version uint64
 	seen    time.Duration
-	pause   time.Duration
 }
 
 // cause is why a primary is to be replaced; reason is empty without one.
@@ -186,6 +191,7 @@
 // due reports whether this host is to replace the primary of a service now.
 func (c *Change) due(service string, w *watch) (cause, bool) {
 	now := uptime.Now()
+	c.observe(service, w, now)
 	found := c.cause(service, w, now)
 	if found.reason != w.cause.reason {
 		w.cause = found
@@ -199,12 +205,28 @@
 	return found, now-w.since >= patience
 }
 
+// observe notes since when this host knows the record in force. A host that was
+// cut off starts anew: what it knows of the primary is as old as the cut.
+func (c *Change) observe(service string, w *watch, now time.Duration) {
+	_, version := c.Groups.View(service).Leading()
+	if c.Directory.Age(c.Fleet) > touchAge {
+		w.seen = now
+	}
+	if w.version != version || w.seen == 0 {
+		w.version = version
+		w.seen = now
+	}
+}
+
 // cause finds out why the primary of a service is to be replaced.
 func (c *Change) cause(service string, w *watch, now time.Duration) cause {
 	v := c.Groups.View(service)
-	l, version := v.Leading()
+	l, _ := v.Leading()
 	if l.Phase == leader.Changing {
-		return c.abandoned(l, version, w, now)
+		return c.abandoned(l, w, now)
+	}
+	if len(c.candidates(service, l.Primary)) == 0 {
+		return cause{} // nobody could take over
 	}
 	s, ok := c.Directory.Server(l.Primary)
 	if !ok {
@@ -213,7 +235,7 @@
 			patience: silentFor,
 		}
 	}
-	silent := now-v.LastAnswer(l.Primary) >= silentFor
+	silent := now-max(v.LastAnswer(l.Primary), w.seen) >= silentFor
 	_, failing := v.Unreachable()
 	switch {
 	case silent && failing:
@@ -247,11 +269,7 @@
 }
 
 // abandoned finds a change whose holder has stopped.
-func (c *Change) abandoned(l leader.Leader, version uint64, w *watch, now time.Duration) cause {
-	if w.version != version {
-		w.version = version
-		w.seen = now
-	}
+func (c *Change) abandoned(l leader.Leader, w *watch, now time.Duration) cause {
 	if l.Holder != c.Host && now-w.seen < abandonedAfter {
 		return cause{}
 	}
--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -11,6 +11,7 @@
 
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/models/share"
+	"wasabislip.example/wasabislip/pkg/model/space"
 )
 
 const (
@@ -20,13 +21,29 @@
 	// settleDelay is how long a host uses its own demand as the others may
 	// still know it: about what gossip takes to reach every host.
 	settleDelay = time.Second
+	// sustained is the part of a declared burst that is spread over the window
+	// in which the rate is counted while a workspace is asked for more than
+	// its rate, so that it gets what the window allows also when callers come
+	// all the time.
+	sustained = 0.5
+	// certain is the part of what a window allows that is given out. The rest
+	// covers the moments in which hosts know different demands.
+	certain = 0.95
 	// leastBurst is the burst of a host in a fleet of any size: less would
 	// refuse operations that happen to come together.
 	leastBurst = 2
 )
 
-// Rates admits operations. It is safe for concurrent use.
+// Rates admits operations. Its fields are set before the first call. It is
+// safe for concurrent use.
 type Rates struct {
+	// Window is the time in which operators count rate and burst.
+	Window time.Duration
+	// Overage is the part of a window's operations by which it may be
+	// exceeded, and Tolerance the number.
+	Overage   float64
+	Tolerance float64
+
 	shards [shardCount]shard
 
 	mu     sync.Mutex
@@ -36,11 +53,18 @@
 
 type shard struct {
 	mu     sync.Mutex
-	spaces map[string]*space
+	spaces map[string]*usage
+}
+
+func (s *shard) add(name string, w *usage) {
+	if s.spaces == nil {
+		s.spaces = map[string]*usage{}
+	}
+	s.spaces[name] = w
 }
 
-// space is one workspace on this host.
-type space struct {
+// usage is one workspace on this host.
+type usage struct {
 	bucket  share.Share
 	asked   float64
 	since   time.Time
@@ -53,15 +77,6 @@
 	elsewhere float64
 }
 
-// New returns rates that refuse everybody until the first Divide.
-func New() *Rates {
-	r := &Rates{}
-	for i := range r.shards {
-		r.shards[i].spaces = map[string]*space{}
-	}
-	return r
-}
-
 func (r *Rates) shard(workspace string) *shard {
 	var n uint32
 	for i := range len(workspace) {
@@ -92,7 +107,7 @@
 }
 
 // average folds the operations asked for since the last call into the demand.
-func (w *space) average(now time.Time) {
+func (w *usage) average(now time.Time) {
 	passed := now.Sub(w.since)
 	if passed < window/8 {
 		return
@@ -136,8 +151,9 @@
 }
 
 // Divide takes the configuration and what the other live hosts are asked for.
-// A host that told nothing for this configuration counts with no demand.
-func (r *Rates) Divide(p *policy.Policy, others [][]byte) {
+// A host that told nothing for this configuration counts with no demand. size
+// is how many hosts there are at least.
+func (r *Rates) Divide(p *policy.Policy, others [][]byte, size int) {
 	names := r.adopt(p)
 	now := time.Now()
 	for i, name := range names {
@@ -152,23 +168,37 @@
 		s.mu.Lock()
 		w, ok := s.spaces[name]
 		if !ok {
-			w = &space{
+			w = &usage{
 				since: now,
 			}
-			s.spaces[name] = w
+			s.add(name, w)
 		}
 		w.average(now)
 		own := share.Unpack(share.Pack(w.settled))
-		hosts := len(others) + 1
-		part := share.Part(declared.Rate, own, all+own, hosts)
+		hosts := max(len(others)+1, size)
+		rate, burst := r.budget(declared, all+own > declared.Rate)
+		part := share.Part(rate, own, all+own, hosts)
 		w.declared = declared.Rate
 		w.part = part
 		w.elsewhere = all
-		w.bucket.Set(now, part, max(leastBurst, declared.Burst/float64(hosts)))
+		w.bucket.Set(now, part, max(leastBurst, burst/float64(hosts)))
 		s.mu.Unlock()
 	}
 }
 
+// budget returns the rate and the burst that all hosts share, so that a window
+// holds no more than it allows: rate x window + burst, and the tolerance that
+// operators grant since hosts can't know at each moment what others admitted.
+func (r *Rates) budget(w space.Workspace, exceeded bool) (rate, burst float64) {
+	window := r.Window.Seconds()
+	allowed := (w.Rate*window+w.Burst)*(1+r.Overage) + r.Tolerance
+	rate = w.Rate
+	if exceeded {
+		rate += sustained * w.Burst / window
+	}
+	return rate, max(w.Burst*(1-sustained), certain*allowed-rate*window)
+}
+
 // adopt takes the policy and forgets workspaces that it lacks.
 func (r *Rates) adopt(p *policy.Policy) []string {
 	r.mu.Lock()
--- a/internal/services/talk/single.go
+++ b/internal/services/talk/single.go
@@ -22,7 +22,7 @@
 	// changePart is the part of a statement's time for which it waits for a
 	// new primary; a change takes about a second, and a caller that is sent
 	// away comes back too soon.
-	changePart = 0.33
+	changePart = 0.4
 	// changePoll is how often a waiting statement looks for the new primary.
 	changePoll = 20 * time.Millisecond
 	// hedgeAfter is how long a read stays unanswered before another instance
@@ -43,16 +43,20 @@
 	return time.Duration(float64(g.lane.Target) * queuePart)
 }
 
-// awaitPrimary returns the primary, and waits a while for one when there is
-// none.
+// awaitPrimary returns the primary. While it is being replaced it waits a
+// while; a host that can't use the primary says so at once, and the session
+// ends, since another host may.
 func (s *Session) awaitPrimary(ctx context.Context, v *dbview.View, g grant) (server.Server, *reply.Reply) {
 	limit := time.Now().Add(time.Duration(float64(g.lane.Timeout) * changePart))
 	for {
 		p, reason := v.Primary()
-		if reason == "" {
+		switch {
+		case reason == "":
 			return p, nil
-		}
-		if reason == "primary-unreachable" || time.Now().After(limit) || ctx.Err() != nil {
+		case reason == "lease-expired" || reason == "primary-unreachable":
+			s.leave = true
+			return p, s.refusal(reply.Busy, reason, "this host can't use the primary now; another host may", busyAfter)
+		case time.Now().After(limit) || ctx.Err() != nil:
 			return p, s.refusal(reply.Busy, reason, "there is no primary to run the statement", changeAfter)
 		}
 		time.Sleep(changePoll)
--- a/internal/services/talk/talk.go
+++ b/internal/services/talk/talk.go
@@ -73,6 +73,8 @@
 	prepared map[string]query.Query
 	own      logpos.Position
 	tx       *transaction
+	// leave tells that another host can serve the caller better.
+	leave bool
 }
 
 // grant is what the configuration allows a caller now.
@@ -242,6 +244,12 @@
 	}
 }
 
+// Leaves reports whether the caller is better served by another host: the
+// session should end once it is idle, so that the caller's retry goes there.
+func (s *Session) Leaves() bool {
+	return s.leave && s.tx == nil
+}
+
 // InTransaction reports whether a transaction is open.
 func (s *Session) InTransaction() bool {
 	return s.tx != nil
