--- a/internal/services/talk/single.go
+++ b/internal/services/talk/single.go
@@ -44,20 +44,19 @@
 }
 
 // awaitPrimary returns the primary. While it is being replaced it waits a
-// while; a host that can't use the primary says so at once, and the session
-// ends, since another host may.
-func (s *Session) awaitPrimary(ctx context.Context, v *dbview.View, g grant) (server.Server, *reply.Reply) {
+// while; a host that can't use the primary says so at once, and elsewhere tells
+// that another host may.
+func (s *Session) awaitPrimary(ctx context.Context, v *dbview.View, g grant) (to server.Server, elsewhere bool, refusal *reply.Reply) {
 	limit := time.Now().Add(time.Duration(float64(g.lane.Timeout) * changePart))
 	for {
 		p, reason := v.Primary()
 		switch {
 		case reason == "":
-			return p, nil
+			return p, false, nil
 		case reason == "lease-expired" || reason == "primary-unreachable":
-			s.leave = true
-			return p, s.refusal(reply.Busy, reason, "this host can't use the primary now; another host may", busyAfter)
+			return p, true, s.refusal(reply.Busy, reason, "this host can't use the primary now; another host may", busyAfter)
 		case time.Now().After(limit) || ctx.Err() != nil:
-			return p, s.refusal(reply.Busy, reason, "there is no primary to run the statement", changeAfter)
+			return p, false, s.refusal(reply.Busy, reason, "there is no primary to run the statement", changeAfter)
 		}
 		time.Sleep(changePoll)
 	}
@@ -67,8 +66,9 @@
 func (s *Session) write(ctx context.Context, g grant, q query.Query) reply.Reply {
 	v := s.Groups.View(g.lane.Service)
 	deadline := time.Now().Add(g.lane.Timeout)
-	to, refusal := s.awaitPrimary(ctx, v, g)
+	to, elsewhere, refusal := s.awaitPrimary(ctx, v, g)
 	if refusal != nil {
+		s.leave = elsewhere
 		return *refusal
 	}
 	a := s.try(v, to, g, g.queueWait(), deadline)
@@ -295,7 +295,8 @@
 		}
 		return to, nil
 	}
-	to, refusal := x.session.awaitPrimary(ctx, x.view, x.grant)
+	to, elsewhere, refusal := x.session.awaitPrimary(ctx, x.view, x.grant)
+	x.session.leave = elsewhere
 	if refusal == nil && x.tried[to.ID] {
 		refusal = x.session.refusal(reply.Busy, "no-instance", "no instance can run the read now", busyAfter)
 	}
--- a/internal/services/talk/talk.go
+++ b/internal/services/talk/talk.go
@@ -118,6 +118,9 @@
 	started := time.Now()
 	r := s.handle(ctx, q)
 	r.State = s.state()
+	if r.Outcome == reply.Done {
+		s.leave = false
+	}
 	s.account(q, &r, time.Since(started))
 	return r
 }
@@ -139,9 +142,9 @@
 	}
 	switch q.Kind {
 	case query.Begin:
-		return s.begin(q)
+		return s.begin(ctx, q)
 	case query.Commit:
-		return s.commit(ctx, q)
+		return s.commit(q)
 	case query.Rollback:
 		return s.rollback()
 	case query.Set:
@@ -208,7 +211,7 @@
 		writes = p.Writes
 	}
 	if s.tx != nil {
-		return s.inside(ctx, q, writes)
+		return s.inside(q, writes)
 	}
 	g, refusal := s.admit()
 	if refusal != nil {
@@ -295,7 +298,6 @@
 		Outcome:    outcome,
 		Message:    reason + ": " + message,
 		RetryAfter: after,
-		State:      s.state(),
 	}
 }
 
--- a/internal/services/talk/tx.go
+++ b/internal/services/talk/tx.go
@@ -36,9 +36,17 @@
 	evacuated time.Time
 	// leave notes the end on the primary.
 	leave func()
+	// started is closed once the transaction was started ahead of its first
+	// statement, with startFailed if it could not be; nil where it was not.
+	started     chan struct{}
+	startFailed *reply.Reply
+	// elsewhere tells that another host may start it.
+	elsewhere bool
 }
 
-func (s *Session) begin(q query.Query) reply.Reply {
+// begin opens a transaction. It is started at its instance while the caller's
+// first statement is on its way: a connect and the start take about as long.
+func (s *Session) begin(ctx context.Context, q query.Query) reply.Reply {
 	if s.tx != nil {
 		return *s.refusal(reply.Malformed, "in-transaction", "a transaction is open already", 0)
 	}
@@ -50,23 +58,29 @@
 		grant:    g,
 		readOnly: q.ReadOnly,
 		arrived:  uptime.Now(),
+		started:  make(chan struct{}),
 	}
+	tx, values, own := s.tx, s.values, s.own
+	go func() {
+		defer close(tx.started)
+		tx.startFailed = s.pin(ctx, tx, values, own)
+	}()
 	return done(reply.Open)
 }
 
 // inside runs a statement of the open transaction.
-func (s *Session) inside(ctx context.Context, q query.Query, writes bool) reply.Reply {
+func (s *Session) inside(q query.Query, writes bool) reply.Reply {
+	<-s.tx.started
 	if refusal := s.revalidate(); refusal != nil {
 		s.abort(refusal)
 		s.tx.ended = nil
 		return *refusal
 	}
 	deadline := time.Now().Add(s.tx.grant.lane.Timeout)
-	if s.tx.attempt == nil {
-		if refusal := s.pin(ctx, deadline); refusal != nil {
-			s.tx.broken = true
-			return *refusal
-		}
+	if refusal := s.tx.startFailed; refusal != nil {
+		s.leave = s.tx.elsewhere
+		s.tx.broken = true
+		return *refusal
 	}
 	r, err := s.pass(q, deadline)
 	if err != nil {
@@ -113,44 +127,45 @@
 	return s.refusal(reply.Aborted, "evacuated", "the instance's data centre was taken out; the transaction is rolled back", busyAfter)
 }
 
-// pin starts the transaction at an instance.
-func (s *Session) pin(ctx context.Context, deadline time.Time) *reply.Reply {
-	g := s.tx.grant
-	if s.tx.readOnly && g.lane.Freshness != route.Primary {
-		if s.pinReplica(ctx, deadline) {
+// pin starts a transaction at an instance, for a session with these values and
+// its own last position. It runs beside the session, which waits for it before
+// it touches the transaction again.
+func (s *Session) pin(ctx context.Context, tx *transaction, values map[string]string, own logpos.Position) *reply.Reply {
+	g := tx.grant
+	deadline := time.Now().Add(g.lane.Timeout)
+	if tx.readOnly && g.lane.Freshness != route.Primary {
+		if s.pinReplica(ctx, tx, values, own, deadline) {
 			return nil
 		}
 	}
 	v := s.Groups.View(g.lane.Service)
-	to, refusal := s.awaitPrimary(ctx, v, g)
+	to, elsewhere, refusal := s.awaitPrimary(ctx, v, g)
 	if refusal != nil {
+		tx.elsewhere = elsewhere
 		return refusal
 	}
 	a := s.try(v, to, g, g.queueWait(), deadline)
 	v.Enter()
-	s.tx.leave = v.Leave
-	r, err := s.start(ctx, a, logpos.Position{})
+	tx.leave = v.Leave
+	r, err := a.start(ctx, tx, values, logpos.Position{})
+	if err == nil && r.Outcome == reply.Done {
+		tx.primary = true
+		return nil
+	}
+	tx.end(false)
 	if err != nil {
-		s.tx.leave()
-		s.tx.leave = nil
 		return s.refusal(reply.Busy, "not-started", err.Error(), busyAfter)
 	}
-	if r.Outcome != reply.Done {
-		s.tx.leave()
-		s.tx.leave = nil
-		r = s.instanceRefusal(r)
-		return &r
-	}
-	s.tx.primary = true
-	return nil
+	r = s.instanceRefusal(r)
+	return &r
 }
 
 // pinReplica starts a read-only transaction at a replica; false when none can
 // run it.
-func (s *Session) pinReplica(ctx context.Context, deadline time.Time) bool {
-	g := s.tx.grant
+func (s *Session) pinReplica(ctx context.Context, tx *transaction, values map[string]string, own logpos.Position, deadline time.Time) bool {
+	g := tx.grant
 	v := s.Groups.View(g.lane.Service)
-	floor, ok := v.Floor(s.tx.arrived-g.lane.MaxAge, s.own)
+	floor, ok := v.Floor(tx.arrived-g.lane.MaxAge, own)
 	if !ok {
 		return false
 	}
@@ -159,7 +174,7 @@
 		if to.ID == l.Primary || i >= maxTries {
 			return false
 		}
-		r, err := s.start(ctx, s.try(v, to, g, 0, deadline), floor)
+		r, err := s.try(v, to, g, 0, deadline).start(ctx, tx, values, floor)
 		if err == nil && r.Outcome == reply.Done {
 			return true
 		}
@@ -169,12 +184,12 @@
 
 // start opens the transaction at the attempt's instance. The statements follow
 // only after its answer: they must not run outside of it.
-func (s *Session) start(ctx context.Context, a *attempt, floor logpos.Position) (reply.Reply, error) {
-	if err := a.connect(ctx, s.values); err != nil {
+func (a *attempt) start(ctx context.Context, tx *transaction, values map[string]string, floor logpos.Position) (reply.Reply, error) {
+	if err := a.connect(ctx, values); err != nil {
 		return reply.Reply{}, err
 	}
 	a.asked = uptime.Now()
-	a.conn.Begin(s.tx.readOnly, floor)
+	a.conn.Begin(tx.readOnly, floor)
 	if err := a.conn.Flush(a.deadline); err != nil {
 		a.view.Failed(a.server.ID)
 		a.release(false)
@@ -185,7 +200,7 @@
 		a.release(err == nil && r.State == reply.Idle)
 		return r, err
 	}
-	s.tx.attempt = a
+	tx.attempt = a
 	return r, nil
 }
 
@@ -202,10 +217,11 @@
 }
 
 // commit ends the transaction and keeps its writes.
-func (s *Session) commit(ctx context.Context, q query.Query) reply.Reply {
+func (s *Session) commit(q query.Query) reply.Reply {
 	if s.tx == nil {
 		return *s.refusal(reply.Malformed, "no-transaction", "no transaction is open", 0)
 	}
+	<-s.tx.started
 	defer func() {
 		s.tx = nil
 	}()
@@ -218,10 +234,9 @@
 		return *refusal
 	}
 	deadline := time.Now().Add(s.tx.grant.lane.Timeout)
-	if s.tx.attempt == nil {
-		if refusal := s.pin(ctx, deadline); refusal != nil {
-			return *refusal
-		}
+	if refusal := s.tx.startFailed; refusal != nil {
+		s.leave = s.tx.elsewhere
+		return *refusal
 	}
 	return s.finish(q, deadline)
 }
@@ -262,6 +277,7 @@
 // release rolls the transaction back at its instance and gives the connection
 // back.
 func (t *transaction) release(usable bool) {
+	<-t.started
 	if t.attempt == nil {
 		return
 	}
