Limit what a host sends to an instance by its refusals

Change: a window a host and instance that shrinks at a refusal, and instances that just refused are passed over.

--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -11,6 +11,7 @@
 
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/models/window"
 	"wasabislip.example/wasabislip/internal/services/link"
 	"wasabislip.example/wasabislip/internal/services/pconn"
 	"wasabislip.example/wasabislip/pkg/model/fault"
@@ -63,6 +64,7 @@
 	opened  int64
 	refused int64
 	inUse   map[string]int
+	window  window.Window
 }
 
 // waiter is a statement that waits for a connection.
@@ -131,6 +133,10 @@
 	if p.closed {
 		return nil, false, nil, gone(p.server.ID)
 	}
+	if !p.room() {
+		w, err := p.queue(workspace, priority, wait)
+		return nil, false, w, err
+	}
 	if c := p.take(workspace, values); c != nil {
 		p.inUse[workspace]++
 		return c, false, nil, nil
@@ -146,17 +152,23 @@
 		p.inUse[workspace]++
 		return nil, true, nil, nil
 	}
+	w, err = p.queue(workspace, priority, wait)
+	return nil, false, w, err
+}
+
+// queue takes a place among those who wait.
+func (p *Pool) queue(workspace string, priority int, wait time.Duration) (*waiter, error) {
 	if wait <= 0 {
 		p.refused++
-		return nil, false, nil, busy(p.server.ID)
+		return nil, busy(p.server.ID)
 	}
-	w = &waiter{
+	w := &waiter{
 		workspace: workspace,
 		priority:  priority,
 		grant:     make(chan *pconn.Conn, 1),
 	}
 	p.waiting = append(p.waiting, w)
-	return nil, false, w, nil
+	return w, nil
 }
 
 // limit returns how many connections may be open now.
@@ -167,6 +179,33 @@
 	return p.keep + borrowed
 }
 
+// room reports whether one more statement may go to the instance now.
+func (p *Pool) room() bool {
+	return p.open-len(p.idle) < p.window.Limit(p.keep+borrowed)
+}
+
+// Served notes a statement that the instance ran.
+func (p *Pool) Served() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.window.Served(p.keep + borrowed)
+}
+
+// Refused notes that the instance had no room for a statement.
+func (p *Pool) Refused() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.window.Refused(time.Now(), p.keep+borrowed)
+}
+
+// Full reports whether the instance refused a statement just now, so that
+// another is to be preferred.
+func (p *Pool) Full() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.window.Full(time.Now()) || !p.room()
+}
+
 // take removes and returns the idle connection of the workspace that fits the
 // session best; nil without one.
 func (p *Pool) take(workspace string, values map[string]string) *pconn.Conn {
@@ -308,7 +347,7 @@
 // serve grants what is free to those who wait: urgent lanes first, then the
 // workspace that uses least.
 func (p *Pool) serve() {
-	for len(p.waiting) > 0 {
+	for len(p.waiting) > 0 && p.room() {
 		room := p.open < p.limit()
 		if !room && len(p.idle) == 0 {
 			return
--- a/internal/services/talk/attempt.go
+++ b/internal/services/talk/attempt.go
@@ -88,8 +88,13 @@
 		return r, err
 	}
 	a.view.Answered(a.server.ID, uptime.Now()-a.asked, r.Position)
-	if r.Outcome == reply.Lagging {
+	switch r.Outcome {
+	case reply.Lagging:
 		a.view.Lagging(a.server.ID)
+	case reply.Busy:
+		a.pool.Refused()
+	case reply.Done:
+		a.pool.Served()
 	}
 	a.view.Position(a.server.ID, a.asked, r.Position)
 	return r, nil
--- a/internal/services/talk/single.go
+++ b/internal/services/talk/single.go
@@ -278,12 +278,17 @@
 	if !ok {
 		return server.Server{}, logpos.Position{}, false
 	}
+	var full server.Server
 	for _, s := range x.view.Readers(floor) {
-		if !x.tried[s.ID] {
+		switch {
+		case x.tried[s.ID]:
+		case !x.session.Pools.Pool(s).Full():
 			return s, x.needs(s, floor), true
+		case full.ID == "":
+			full = s
 		}
 	}
-	return server.Server{}, logpos.Position{}, false
+	return full, x.needs(full, floor), full.ID != ""
 }
 
 // primary returns the primary where the read may still be offered to it.
