Let one host of the instance's data centre hold a workspace's connections

Change: statements go to a holder, chosen by rendezvous hashing of instance and workspace among the hosts of the instance's data centre; a host that can't reach it uses connections of its own.

--- a/internal/modules/local/local.go
+++ b/internal/modules/local/local.go
@@ -33,6 +33,8 @@
 	ReadyAddress string `yaml:"ready-address"`
 	// PeerAddress answers other hosts, ip:port.
 	PeerAddress string `yaml:"peer-address"`
+	// RunAddress takes other hosts' statements, ip:port.
+	RunAddress string `yaml:"run-address"`
 	// MetricsAddress serves /metrics, ip:port.
 	MetricsAddress string `yaml:"metrics-address"`
 	// Seeds are peer addresses of some hosts, one text with commas between.
@@ -100,6 +102,7 @@
 		"ready-address":   s.ReadyAddress,
 		"peer-address":    s.PeerAddress,
 		"metrics-address": s.MetricsAddress,
+		"run-address":     s.RunAddress,
 		"store-address":   s.StoreAddress,
 		"order-address":   s.OrderAddress,
 	} {
--- a/internal/routers/edge/caller.go
+++ b/internal/routers/edge/caller.go
@@ -117,7 +117,7 @@
 	x.session = &talk.Session{
 		Directory: x.host.mirror,
 		Groups:    x.host.groups,
-		Pools:     x.host.depot,
+		Ways:      x.host.haul,
 		Rates:     x.host.rates,
 		Audit:     x.host.audit,
 		Meter:     x.host.counts,
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -20,6 +21,7 @@
 	"wasabislip.example/wasabislip/internal/modules/audit"
 	"wasabislip.example/wasabislip/internal/modules/counts"
 	"wasabislip.example/wasabislip/internal/modules/local"
+	"wasabislip.example/wasabislip/internal/routers/holder"
 	"wasabislip.example/wasabislip/internal/routers/wire"
 	"wasabislip.example/wasabislip/internal/services/census"
 	"wasabislip.example/wasabislip/internal/services/change"
@@ -27,6 +29,7 @@
 	"wasabislip.example/wasabislip/internal/services/depot"
 	"wasabislip.example/wasabislip/internal/services/gossip"
 	"wasabislip.example/wasabislip/internal/services/groups"
+	"wasabislip.example/wasabislip/internal/services/haul"
 	"wasabislip.example/wasabislip/internal/services/link"
 	"wasabislip.example/wasabislip/internal/services/mirror"
 	"wasabislip.example/wasabislip/internal/services/probe"
@@ -111,6 +114,8 @@
 	census *census.Census
 	rates  *rates.Rates
 	depot  *depot.Depot
+	haul   *haul.Haul
+	holder *holder.Holder
 	audit  *audit.Audit
 	counts *counts.Counts
 
@@ -139,8 +144,23 @@
 	return l.census.RegisteredSince()
 }
 
-// Size returns how many hosts share the instances' connections and the
-// workspaces' rates. Soon after the start few were heard, but all are
+// Sharing returns how many hosts hold connections to the instances of a data
+// centre: those that stand there. Others open one only where none of those
+// answers.
+func (h *Host) Sharing(dataCentre string) int {
+	if dataCentre != h.Settings.DataCentre {
+		return math.MaxInt
+	}
+	n := 1
+	for _, other := range h.gossip.Alive() {
+		if other.DataCentre == dataCentre && other.State == host.Alive {
+			n++
+		}
+	}
+	return n
+}
+
+// Size returns how many hosts share the workspaces' rates. Soon after the start few were heard, but all are
 // registered.
 func (h *Host) Size() int {
 	heard := len(h.gossip.Alive()) + 1
@@ -156,6 +176,7 @@
 	self := host.Host{
 		Name:        h.Settings.Host,
 		Address:     h.Settings.PeerAddress,
+		RunAddress:  h.Settings.RunAddress,
 		DataCentre:  h.Settings.DataCentre,
 		State:       host.Alive,
 		Incarnation: uint64(h.started.UnixMilli()),
@@ -176,6 +197,8 @@
 	h.census = census.New(self, h.mirror, h.Store, h.gossip)
 	registry.census = h.census
 	h.depot = depot.New(h.mirror, h, h.Instances)
+	h.haul = haul.New(self, h.gossip, h.mirror, h.depot, h.Network.Dial)
+	h.holder = holder.New(h.mirror, h.depot)
 	h.audit = audit.New()
 	h.counts = counts.New()
 	h.publish()
@@ -237,6 +260,7 @@
 		pulse.New(h.mirror, h.groups, h.gossip, prober, mirror.Fleet).Run(background)
 	})
 	parts.Go(func() { h.changes(prober).Run(background) })
+	parts.Go(func() { h.holder.Serve(background, listeners.runs) })
 	parts.Go(func() { h.accept(background, listeners.callers) })
 	<-ctx.Done()
 	h.stop(background, listeners)
@@ -282,6 +306,7 @@
 	ready   net.Listener
 	peers   net.Listener
 	metrics net.Listener
+	runs    net.Listener
 }
 
 func (h *Host) listen() (*listeners, error) {
@@ -293,6 +318,7 @@
 		{address: h.Settings.PeerAddress, into: &l.peers},
 		{address: h.Settings.ReadyAddress, into: &l.ready},
 		{address: h.Settings.MetricsAddress, into: &l.metrics},
+		{address: h.Settings.RunAddress, into: &l.runs},
 		{address: h.Settings.CallerAddress, into: &l.callers},
 	} {
 		listener, err := h.Network.Listen(p.address)
--- a/internal/routers/edge/stop.go
+++ b/internal/routers/edge/stop.go
@@ -50,7 +50,8 @@
 			_ = l.callers.Close() // a second close is harmless
 		}
 		progress := float64(now.Sub(at(idleFrom))) / float64(at(idleUntil).Sub(at(idleFrom)))
-		if h.ask(progress, now.After(at(transactionsUntil))) == 0 && now.After(at(idleUntil)) {
+		left := h.ask(progress, now.After(at(transactionsUntil)))
+		if left+h.holder.Busy() == 0 && now.After(at(idleUntil)) {
 			break
 		}
 	}
@@ -59,6 +60,8 @@
 	_ = l.ready.Close() // the process ends
 	_ = l.peers.Close()
 	_ = l.metrics.Close()
+	_ = l.runs.Close()
+	h.holder.Close()
 }
 
 // ticks yields the time now and then until the end.
--- /dev/null
+++ b/internal/routers/holder/holder.go
@@ -0,0 +1,231 @@
+// Package holder runs statements for other hosts on this host's connections to
+// instances.
+package holder
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"k8s.io/klog/v2"
+
+	wasabislipv1 "wasabislip.example/wasabislip/internal/gen/wasabislip/v1"
+	"wasabislip.example/wasabislip/internal/models/errand"
+	"wasabislip.example/wasabislip/internal/models/query"
+	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/services/conns"
+	"wasabislip.example/wasabislip/internal/services/runner"
+	"wasabislip.example/wasabislip/pkg/model/fault"
+	"wasabislip.example/wasabislip/pkg/model/logpos"
+)
+
+const (
+	// writeTimeout bounds one answer to a host that reads slowly.
+	writeTimeout = time.Second
+	// maxErrand bounds one errand, in bytes: a statement of 1 MiB and its
+	// session.
+	maxErrand = 4 << 20
+	// maxTimeout bounds the time that another host may give a statement.
+	maxTimeout = time.Minute
+	// bufferSize holds a usual errand, in bytes.
+	bufferSize = 2048
+)
+
+// directory tells which instances there are.
+type directory interface {
+	Server(id string) (server.Server, bool)
+}
+
+// pools are the connections to instances.
+type pools interface {
+	Pool(s server.Server) *conns.Pool
+}
+
+// Holder serves other hosts. It is safe for concurrent use.
+type Holder struct {
+	directory directory
+	pools     pools
+
+	mu   sync.Mutex
+	busy int
+	all  map[net.Conn]struct{}
+}
+
+// New returns a holder.
+func New(d directory, p pools) *Holder {
+	return &Holder{
+		directory: d,
+		pools:     p,
+		all:       map[net.Conn]struct{}{},
+	}
+}
+
+// Serve takes other hosts' connections until the listener closes.
+func (h *Holder) Serve(ctx context.Context, l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			klog.ErrorS(err, "another host's connection could not be accepted")
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		go h.serve(ctx, c)
+	}
+}
+
+// Busy returns how many errands and transactions are under way.
+func (h *Holder) Busy() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.busy
+}
+
+// Close ends all connections.
+func (h *Holder) Close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for c := range h.all {
+		_ = c.Close()
+	}
+}
+
+func (h *Holder) change(busy int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.busy += busy
+}
+
+func (h *Holder) serve(ctx context.Context, c net.Conn) {
+	h.mu.Lock()
+	h.all[c] = struct{}{}
+	h.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.all, c)
+	}()
+	x := &exchange{
+		holder: h,
+		runner: runner.New(h.directory, h.pools),
+		net:    c,
+		r:      bufio.NewReaderSize(c, bufferSize),
+		w:      bufio.NewWriterSize(c, bufferSize),
+	}
+	err := x.run(ctx)
+	x.runner.Close()
+	x.mark(false)
+	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		klog.V(1).InfoS("another host's connection ended", "err", err)
+	}
+}
+
+// exchange is one connection of another host.
+type exchange struct {
+	holder *Holder
+	runner *runner.Runner
+	net    net.Conn
+	r      *bufio.Reader
+	w      *bufio.Writer
+	busy   bool
+}
+
+// mark counts the connection while an errand or a transaction is under way.
+func (x *exchange) mark(busy bool) {
+	if busy == x.busy {
+		return
+	}
+	x.busy = busy
+	if busy {
+		x.holder.change(1)
+	} else {
+		x.holder.change(-1)
+	}
+}
+
+func (x *exchange) run(ctx context.Context) error {
+	options := protodelim.UnmarshalOptions{
+		MaxSize: maxErrand,
+	}
+	for {
+		var m wasabislipv1.Errand
+		if err := options.UnmarshalFrom(x.r, &m); err != nil {
+			return err
+		}
+		x.mark(true)
+		e := decode(&m)
+		a, err := x.runner.Do(ctx, e)
+		if e.Kind == errand.Abandon {
+			x.mark(false)
+			continue
+		}
+		if err := x.answer(&a, err); err != nil {
+			return err
+		}
+		x.mark(err == nil && a.State != reply.Idle)
+	}
+}
+
+func (x *exchange) answer(a *reply.Reply, failure error) error {
+	m := &wasabislipv1.ErrandAnswer{
+		Rows:      a.Rows,
+		Outcome:   int32(a.Outcome),
+		Signature: a.Signature,
+		Message:   a.Message,
+		State:     int32(a.State),
+		Term:      a.Position.Term,
+		Offset:    a.Position.Offset,
+	}
+	if failure != nil {
+		m.Fault = fault.OutcomeUnknown
+		m.Reason = failure.Error()
+		if f := fault.As(failure); f != nil {
+			m.Fault = f.Kind
+			m.Reason = f.Reason
+		}
+	}
+	if err := x.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := protodelim.MarshalTo(x.w, m); err != nil {
+		return err
+	}
+	return x.w.Flush()
+}
+
+func decode(m *wasabislipv1.Errand) *errand.Errand {
+	s := m.GetStatement()
+	timeout := min(time.Duration(m.GetTimeoutMs())*time.Millisecond, maxTimeout)
+	return &errand.Errand{
+		Kind:      int(m.GetKind()),
+		Instance:  m.GetInstance(),
+		Workspace: m.GetWorkspace(),
+		Values:    m.GetValues(),
+		Query: query.Query{
+			ID:    s.GetId(),
+			Kind:  int(s.GetKind()),
+			Text:  s.GetText(),
+			Name:  s.GetName(),
+			Value: s.GetValue(),
+			Args:  s.GetArgs(),
+		},
+		Prepared: m.GetPrepared(),
+		ReadOnly: m.GetReadOnly(),
+		Floor: logpos.Position{
+			Term:   m.GetFloorTerm(),
+			Offset: m.GetFloorOffset(),
+		},
+		Priority: int(m.GetPriority()),
+		Wait:     time.Duration(m.GetWaitMs()) * time.Millisecond,
+		Deadline: time.Now().Add(timeout),
+	}
+}
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -30,7 +30,7 @@
 	borrowedIdle = 250 * time.Millisecond
 	// keptIdle is how long an idle connection within the even part is kept.
 	// It is below the time after which instances close idle connections.
-	keptIdle = 250 * time.Millisecond
+	keptIdle = 20 * time.Second
 	// fullFor is how long the host opens no more connections than it has
 	// after the instance refused one.
 	fullFor = 200 * time.Millisecond
@@ -207,8 +207,19 @@
 }
 
 // take removes and returns the idle connection of the workspace that fits the
-// session best; nil without one.
+// session best; nil without one. Connections that the instance closed go.
 func (p *Pool) take(workspace string, values map[string]string) *pconn.Conn {
+	for {
+		c := p.best(workspace, values)
+		if c == nil || c.Standing() {
+			return c
+		}
+		p.open--
+		_ = c.Link.Close()
+	}
+}
+
+func (p *Pool) best(workspace string, values map[string]string) *pconn.Conn {
 	best := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
--- a/internal/services/depot/depot.go
+++ b/internal/services/depot/depot.go
@@ -22,9 +22,10 @@
 	Policy() *policy.Policy
 }
 
-// fleet tells how many hosts share the connections.
+// fleet tells how many hosts share the connections to the instances of a data
+// centre.
 type fleet interface {
-	Size() int
+	Sharing(dataCentre string) int
 }
 
 // dialer opens connections to instances.
@@ -92,7 +93,7 @@
 	if p == nil {
 		return
 	}
-	e.pool.Resize(p.ConnectionLimit[e.server.Service], d.fleet.Size())
+	e.pool.Resize(p.ConnectionLimit[e.server.Service], d.fleet.Sharing(e.server.DataCentre))
 }
 
 // Run trims the pools until ctx ends.
--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -242,6 +242,7 @@
 	return host.Host{
 		Name:        r.GetName(),
 		Address:     r.GetAddress(),
+		RunAddress:  r.GetRunAddress(),
 		DataCentre:  r.GetDataCentre(),
 		Incarnation: r.GetIncarnation(),
 	}
@@ -392,6 +393,7 @@
 	list := []*wasabislipv1.HostReport{{
 		Name:           g.self.Name,
 		Address:        g.self.Address,
+		RunAddress:     g.self.RunAddress,
 		DataCentre:     g.self.DataCentre,
 		Incarnation:    g.self.Incarnation,
 		Sequence:       g.sequence,
@@ -409,6 +411,7 @@
 		list = append(list, &wasabislipv1.HostReport{
 			Name:           p.report.GetName(),
 			Address:        p.report.GetAddress(),
+			RunAddress:     p.report.GetRunAddress(),
 			DataCentre:     p.report.GetDataCentre(),
 			Incarnation:    p.report.GetIncarnation(),
 			Sequence:       p.report.GetSequence(),
--- a/internal/services/link/link.go
+++ b/internal/services/link/link.go
@@ -34,6 +34,9 @@
 	SetReadDeadline(t time.Time) error
 	// SetWriteDeadline bounds the writes that follow.
 	SetWriteDeadline(t time.Time) error
+	// Standing reports whether an idle connection was not closed by the
+	// instance.
+	Standing() bool
 	// Close ends the connection; an open transaction is rolled back.
 	Close() error
 }
--- a/internal/services/pconn/pconn.go
+++ b/internal/services/pconn/pconn.go
@@ -50,6 +50,12 @@
 	return c.within(values)
 }
 
+// Standing reports whether the connection was not closed by the instance while
+// it was idle.
+func (c *Conn) Standing() bool {
+	return c.pending > 0 || c.Link.Standing()
+}
+
 // Blank reports whether the connection holds no session values.
 func (c *Conn) Blank() bool {
 	return !c.spoiled && len(c.values) == 0
--- a/internal/services/talk/single.go
+++ b/internal/services/talk/single.go
@@ -72,19 +72,19 @@
 		return *refusal
 	}
 	a := s.try(v, to, g, g.queueWait(), deadline)
-	r, err := a.run(ctx, q, s.values, s.prepared[q.Name].Value, logpos.Position{})
+	r, err := a.single(ctx, q, s.values, s.prepared[q.Name].Value, logpos.Position{})
 	if err != nil {
-		return s.writeFailure(a, err)
+		return s.writeFailure(err)
 	}
 	return s.settleWrite(v, to, r)
 }
 
 // writeFailure answers a write that got no answer.
-func (s *Session) writeFailure(a *attempt, err error) reply.Reply {
-	if !a.sent {
+func (s *Session) writeFailure(err error) reply.Reply {
+	if !fault.IsKind(err, fault.OutcomeUnknown) {
 		return *s.refusal(reply.Busy, "not-sent", err.Error(), busyAfter)
 	}
-	return *s.refusal(reply.InDoubt, "no-answer", "instance "+a.server.ID+" did not answer; the write may have run: "+err.Error(), 0)
+	return *s.refusal(reply.InDoubt, "no-answer", err.Error(), 0)
 }
 
 // settleWrite decides what the caller hears of a write that was answered: a
@@ -259,7 +259,7 @@
 	x.running++
 	a := x.session.try(x.view, to, x.grant, wait, x.deadline)
 	go func() {
-		r, err := a.run(ctx, x.query, x.values, x.prepared, floor)
+		r, err := a.single(ctx, x.query, x.values, x.prepared, floor)
 		x.answers <- answer{
 			server: to,
 			reply:  r,
@@ -278,17 +278,12 @@
 	if !ok {
 		return server.Server{}, logpos.Position{}, false
 	}
-	var full server.Server
 	for _, s := range x.view.Readers(floor) {
-		switch {
-		case x.tried[s.ID]:
-		case !x.session.Pools.Pool(s).Full():
+		if !x.tried[s.ID] {
 			return s, x.needs(s, floor), true
-		case full.ID == "":
-			full = s
 		}
 	}
-	return full, x.needs(full, floor), full.ID != ""
+	return server.Server{}, logpos.Position{}, false
 }
 
 // primary returns the primary where the read may still be offered to it.
--- a/internal/services/talk/talk.go
+++ b/internal/services/talk/talk.go
@@ -11,10 +11,9 @@
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
-	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/modules/audit"
-	"wasabislip.example/wasabislip/internal/services/conns"
 	"wasabislip.example/wasabislip/internal/services/dbview"
+	"wasabislip.example/wasabislip/internal/services/haul"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
@@ -33,11 +32,6 @@
 	View(service string) *dbview.View
 }
 
-// pools are the connections to instances.
-type pools interface {
-	Pool(s server.Server) *conns.Pool
-}
-
 // admitter keeps workspaces within their rates.
 type admitter interface {
 	Admit(workspace string) (ok bool, after time.Duration, why string)
@@ -56,8 +50,8 @@
 	Directory directory
 	// Groups are the beliefs about services.
 	Groups groups
-	// Pools are the connections to instances.
-	Pools pools
+	// Ways lead to instances.
+	Ways *haul.Haul
 	// Rates keep workspaces within their rates.
 	Rates admitter
 	// Audit writes log lines on requests.
@@ -144,7 +138,7 @@
 	case query.Begin:
 		return s.begin(ctx, q)
 	case query.Commit:
-		return s.commit(q)
+		return s.commit(ctx, q)
 	case query.Rollback:
 		return s.rollback()
 	case query.Set:
@@ -211,7 +205,7 @@
 		writes = p.Writes
 	}
 	if s.tx != nil {
-		return s.inside(q, writes)
+		return s.inside(ctx, q, writes)
 	}
 	g, refusal := s.admit()
 	if refusal != nil {
@@ -242,7 +236,7 @@
 // Close ends the session; an open transaction is rolled back.
 func (s *Session) Close() {
 	if s.tx != nil {
-		s.tx.release(true)
+		s.tx.release()
 		s.tx = nil
 	}
 }
@@ -280,7 +274,7 @@
 // abort gives the transaction's connection back and keeps why for the caller's
 // next statement.
 func (s *Session) abort(why *reply.Reply) {
-	s.tx.release(true)
+	s.tx.release()
 	s.tx.broken = true
 	s.tx.ended = why
 }
--- a/internal/services/talk/tx.go
+++ b/internal/services/talk/tx.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wasabislip.example/wasabislip/internal/models/errand"
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/modules/uptime"
@@ -69,7 +70,7 @@
 }
 
 // inside runs a statement of the open transaction.
-func (s *Session) inside(q query.Query, writes bool) reply.Reply {
+func (s *Session) inside(ctx context.Context, q query.Query, writes bool) reply.Reply {
 	<-s.tx.started
 	if refusal := s.revalidate(); refusal != nil {
 		s.abort(refusal)
@@ -82,9 +83,9 @@
 		s.tx.broken = true
 		return *refusal
 	}
-	r, err := s.pass(q, deadline)
+	r, err := s.pass(ctx, q, deadline)
 	if err != nil {
-		s.tx.drop()
+		s.tx.end()
 		s.tx.broken = true
 		return *s.refusal(reply.Aborted, "no-answer", "the instance did not answer; the transaction is rolled back: "+err.Error(), busyAfter)
 	}
@@ -152,7 +153,7 @@
 		tx.primary = true
 		return nil
 	}
-	tx.end(false)
+	tx.end()
 	if err != nil {
 		return s.refusal(reply.Busy, "not-started", err.Error(), busyAfter)
 	}
@@ -185,39 +186,32 @@
 // start opens the transaction at the attempt's instance. The statements follow
 // only after its answer: they must not run outside of it.
 func (a *attempt) start(ctx context.Context, tx *transaction, values map[string]string, floor logpos.Position) (reply.Reply, error) {
-	if err := a.connect(ctx, values); err != nil {
-		return reply.Reply{}, err
-	}
-	a.asked = uptime.Now()
-	a.conn.Begin(tx.readOnly, floor)
-	if err := a.conn.Flush(a.deadline); err != nil {
-		a.view.Failed(a.server.ID)
-		a.release(false)
-		return reply.Reply{}, err
-	}
-	r, err := a.receive()
-	if err != nil || r.Outcome != reply.Done {
-		a.release(err == nil && r.State == reply.Idle)
-		return r, err
+	r, err := a.do(ctx, &errand.Errand{
+		Kind:     errand.Start,
+		ReadOnly: tx.readOnly,
+		Values:   values,
+		Floor:    floor,
+	})
+	if err == nil && r.Outcome == reply.Done {
+		tx.attempt = a
 	}
-	tx.attempt = a
-	return r, nil
+	return r, err
 }
 
 // pass runs one statement on the transaction's connection.
-func (s *Session) pass(q query.Query, deadline time.Time) (reply.Reply, error) {
+func (s *Session) pass(ctx context.Context, q query.Query, deadline time.Time) (reply.Reply, error) {
 	a := s.tx.attempt
 	a.deadline = deadline
-	a.conn.Adopt(s.values)
-	if err := a.send(q, s.prepared[q.Name].Value, logpos.Position{}); err != nil {
-		a.view.Failed(a.server.ID)
-		return reply.Reply{}, err
-	}
-	return a.receive()
+	return a.do(ctx, &errand.Errand{
+		Kind:     errand.Inside,
+		Query:    q,
+		Values:   s.values,
+		Prepared: s.prepared[q.Name].Value,
+	})
 }
 
 // commit ends the transaction and keeps its writes.
-func (s *Session) commit(q query.Query) reply.Reply {
+func (s *Session) commit(ctx context.Context, q query.Query) reply.Reply {
 	if s.tx == nil {
 		return *s.refusal(reply.Malformed, "no-transaction", "no transaction is open", 0)
 	}
@@ -226,11 +220,11 @@
 		s.tx = nil
 	}()
 	if s.tx.broken {
-		s.tx.release(true)
+		s.tx.release()
 		return *s.refusal(reply.Aborted, "transaction-failed", "the transaction failed and is rolled back", 0)
 	}
 	if refusal := s.revalidate(); refusal != nil {
-		s.tx.release(true)
+		s.tx.release()
 		return *refusal
 	}
 	deadline := time.Now().Add(s.tx.grant.lane.Timeout)
@@ -238,22 +232,22 @@
 		s.leave = s.tx.elsewhere
 		return *refusal
 	}
-	return s.finish(q, deadline)
+	return s.finish(ctx, q, deadline)
 }
 
 // finish sends the commit and decides what its answer means.
-func (s *Session) finish(q query.Query, deadline time.Time) reply.Reply {
+func (s *Session) finish(ctx context.Context, q query.Query, deadline time.Time) reply.Reply {
 	a := s.tx.attempt
-	r, err := s.pass(q, deadline)
+	r, err := s.pass(ctx, q, deadline)
 	if err != nil {
 		wrote := s.tx.wrote
-		s.tx.drop()
+		s.tx.end()
 		if wrote {
 			return *s.refusal(reply.InDoubt, "no-answer", "the instance did not answer the commit; it may have run: "+err.Error(), 0)
 		}
 		return *s.refusal(reply.Aborted, "no-answer", "the instance did not answer; nothing was written: "+err.Error(), busyAfter)
 	}
-	s.tx.end(r.State == reply.Idle)
+	s.tx.end()
 	if r.Outcome != reply.Done || !s.tx.wrote {
 		if r.Outcome != reply.Done {
 			return s.instanceRefusal(r)
@@ -269,34 +263,23 @@
 	if s.tx == nil {
 		return *s.refusal(reply.Malformed, "no-transaction", "no transaction is open", 0)
 	}
-	s.tx.release(true)
+	s.tx.release()
 	s.tx = nil
 	return done(reply.Idle)
 }
 
 // release rolls the transaction back at its instance and gives the connection
 // back.
-func (t *transaction) release(usable bool) {
+func (t *transaction) release() {
 	<-t.started
-	if t.attempt == nil {
-		return
-	}
-	c := t.attempt.conn
-	c.Rollback()
-	c.Spoil()
-	err := c.Flush(time.Now().Add(time.Second))
-	t.end(usable && err == nil)
-}
-
-// drop closes the connection.
-func (t *transaction) drop() {
-	t.end(false)
+	t.end()
 }
 
-// end gives the connection back without a word to the instance.
-func (t *transaction) end(usable bool) {
+// end gives the connection back; a transaction that is still open there is
+// rolled back.
+func (t *transaction) end() {
 	if t.attempt != nil {
-		t.attempt.release(usable)
+		t.attempt.carrier.Close()
 		t.attempt = nil
 	}
 	if t.leave != nil {
--- a/pkg/model/host/host.go
+++ b/pkg/model/host/host.go
@@ -21,6 +21,9 @@
 	Name string
 	// Address is its peer address, ip:port.
 	Address string
+	// RunAddress takes statements of other hosts, ip:port; empty where hosts
+	// run none for others.
+	RunAddress string
 	// DataCentre names where it stands.
 	DataCentre string
 	// State is Alive, Suspect, Leaving or Dead.
