Short queues at instances, the more urgent first; ask lagging replicas less often

Change: a replica that keeps lagging is asked every 0.4 s at most; all hosts together give an instance three statements a slot, the rest waits at the holder by priority and target.

--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -151,13 +151,20 @@
 	if dataCentre != h.Settings.DataCentre {
 		return math.MaxInt
 	}
-	n := 1
+	heard := 1
 	for _, other := range h.gossip.Alive() {
 		if other.DataCentre == dataCentre && other.State == host.Alive {
-			n++
+			heard++
 		}
 	}
-	return n
+	// A host that is cut off hears of nobody; the others are still there.
+	registered := 0
+	for _, other := range h.mirror.Registered() {
+		if other.DataCentre == dataCentre && other.State == host.Alive {
+			registered++
+		}
+	}
+	return max(heard, registered)
 }
 
 // Size returns how many hosts share the workspaces' rates. Soon after the start few were heard, but all are
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -33,7 +33,13 @@
 	keptIdle = 20 * time.Second
 	// fullFor is how long the host opens no more connections than it has
 	// after the instance refused one.
-	fullFor = 200 * time.Millisecond
+	fullFor = time.Second
+	// depth is how many statements all hosts together give an instance for
+	// each of its slots: one that runs and two that wait.
+	depth = 3
+	// leastRunning is how many one host gives it at least, so that a workspace
+	// whose connections it holds is not held up by one long statement.
+	leastRunning = 2
 	// fullPause is the pause before another try after the instance refused a
 	// connection: about the time that one statement holds one.
 	fullPause = 15 * time.Millisecond
@@ -65,6 +71,10 @@
 	refused int64
 	inUse   map[string]int
 	window  window.Window
+	// running counts the statements that the instance was given.
+	running int
+	// sharing is how many hosts send to the instance.
+	sharing int
 }
 
 // waiter is a statement that waits for a connection.
@@ -90,7 +100,8 @@
 func (p *Pool) Resize(limit, hosts int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.keep = max(1, (limit-reserve)/max(hosts, 1))
+	p.sharing = max(hosts, 1)
+	p.keep = max(1, (limit-reserve)/p.sharing)
 }
 
 // Get returns a connection for the workspace that holds the session values if
@@ -138,18 +149,18 @@
 		return nil, false, w, err
 	}
 	if c := p.take(workspace, values); c != nil {
-		p.inUse[workspace]++
+		p.enter(workspace)
 		return c, false, nil, nil
 	}
 	if p.open < p.limit() {
 		p.open++
-		p.inUse[workspace]++
+		p.enter(workspace)
 		return nil, true, nil, nil
 	}
 	if len(p.idle) > 0 {
 		p.evict()
 		p.open++
-		p.inUse[workspace]++
+		p.enter(workspace)
 		return nil, true, nil, nil
 	}
 	w, err = p.queue(workspace, priority, wait)
@@ -181,21 +192,47 @@
 
 // room reports whether one more statement may go to the instance now.
 func (p *Pool) room() bool {
-	return p.open-len(p.idle) < p.window.Limit(p.keep+borrowed)
+	return p.running < p.window.Limit(p.most())
+}
+
+// most returns how many statements this host gives the instance at once: its
+// part of a short queue before each slot. What waits longer waits here, where
+// the more urgent goes first.
+func (p *Pool) most() int {
+	all := depth * max(p.server.Slots, 1)
+	return max(leastRunning, (all+p.sharing-1)/max(p.sharing, 1))
+}
+
+// Rest notes that a transaction keeps its connection and runs nothing on it.
+func (p *Pool) Rest(c *pconn.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.Resting = true
+	p.running--
+	p.serve()
+}
+
+// Resume notes that the transaction runs its next statement. It never waits:
+// others wait for what the transaction holds.
+func (p *Pool) Resume(c *pconn.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.Resting = false
+	p.running++
 }
 
 // Served notes a statement that the instance ran.
 func (p *Pool) Served() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.window.Served(p.keep + borrowed)
+	p.window.Served(p.most())
 }
 
 // Refused notes that the instance had no room for a statement.
 func (p *Pool) Refused() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.window.Refused(time.Now(), p.keep+borrowed)
+	p.window.Refused(time.Now(), p.most())
 }
 
 // Full reports whether the instance refused a statement just now, so that
@@ -285,7 +322,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leave(workspace)
+	p.leave(workspace, true)
 	p.open--
 	if fault.IsKind(err, fault.Overloaded) {
 		p.full = time.Now().Add(fullFor)
@@ -327,7 +364,8 @@
 func (p *Pool) Put(c *pconn.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leave(c.Workspace)
+	p.leave(c.Workspace, !c.Resting)
+	c.Resting = false
 	if p.closed {
 		p.open--
 		_ = c.Link.Close()
@@ -343,12 +381,21 @@
 	_ = c.Link.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leave(c.Workspace)
+	p.leave(c.Workspace, !c.Resting)
+	c.Resting = false
 	p.open--
 	p.serve()
 }
 
-func (p *Pool) leave(workspace string) {
+func (p *Pool) enter(workspace string) {
+	p.running++
+	p.inUse[workspace]++
+}
+
+func (p *Pool) leave(workspace string, ran bool) {
+	if ran {
+		p.running--
+	}
 	p.inUse[workspace]--
 	if p.inUse[workspace] <= 0 {
 		delete(p.inUse, workspace)
@@ -364,7 +411,7 @@
 			return
 		}
 		w := p.next()
-		p.inUse[w.workspace]++
+		p.enter(w.workspace)
 		if c := p.take(w.workspace, nil); c != nil {
 			w.grant <- c
 			continue
@@ -417,7 +464,7 @@
 	}
 	for _, w := range p.waiting {
 		p.open++
-		p.inUse[w.workspace]++
+		p.enter(w.workspace)
 		w.grant <- nil
 	}
 	p.waiting = nil
--- a/internal/services/dbview/choose.go
+++ b/internal/services/dbview/choose.go
@@ -26,12 +26,10 @@
 	distantCost = 6 * time.Millisecond
 	// primaryCost keeps reads off the primary, whose slots writes need.
 	primaryCost = 20 * time.Millisecond
-	// behindCost is what a replica costs that may lack the position.
-	behindCost = 40 * time.Millisecond
 )
 
-// Readers returns the instances that may run a read, best first: those whose
-// log surely holds floor, near and quick, before others.
+// Readers returns the instances that may run a read, best first: near and quick
+// ones. Replicas that lagged lately are left out unless they hold floor.
 func (v *View) Readers(floor logpos.Position) []server.Server {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -43,12 +41,15 @@
 			continue
 		}
 		primary := s.ID == l.Primary
+		if m := v.member(s.ID); !primary && m.lagging > now && floor.Newer(m.applied) {
+			continue
+		}
 		if primary && (l.Phase != leader.Settled || !v.certain(s.ID)) {
 			continue
 		}
 		list = append(list, candidate{
 			server: s,
-			cost:   v.cost(s, primary, floor, now),
+			cost:   v.cost(s, primary, now),
 		})
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
@@ -66,7 +67,7 @@
 	cost   time.Duration
 }
 
-func (v *View) cost(s server.Server, primary bool, floor logpos.Position, now time.Duration) time.Duration {
+func (v *View) cost(s server.Server, primary bool, now time.Duration) time.Duration {
 	m := v.member(s.ID)
 	cost := usualLatency
 	if now-m.measured < forgetAfter {
@@ -79,9 +80,6 @@
 	if primary {
 		return cost + primaryCost
 	}
-	if m.lagging > now && floor.Newer(m.applied) {
-		cost += behindCost
-	}
 	return cost
 }
 
@@ -123,11 +121,27 @@
 	m.backoff = 0
 }
 
-// Lagging notes that a replica lacked a position.
+// Lagging notes that a replica lacked a position. One that keeps lagging is
+// asked less and less often.
 func (v *View) Lagging(id string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.member(id).lagging = uptime.Now() + laggingFor
+	m := v.member(id)
+	now := uptime.Now()
+	if m.lagging > now {
+		return
+	}
+	m.lagBackoff = min(max(2*m.lagBackoff, laggingLeast), laggingMost)
+	m.lagging = now + m.lagBackoff
+}
+
+// CaughtUp notes that a replica held the position that a read asked for.
+func (v *View) CaughtUp(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	m := v.member(id)
+	m.lagging = 0
+	m.lagBackoff = 0
 }
 
 // Abandoned notes that a statement ended without an answer through no fault of
--- a/internal/services/dbview/dbview.go
+++ b/internal/services/dbview/dbview.go
@@ -25,9 +25,11 @@
 	// instance that fails.
 	retryLeast = 250 * time.Millisecond
 	retryMost  = 2 * time.Second
-	// laggingFor is how long a replica is avoided that lacked a position; it
-	// is about the usual lag of a replica.
-	laggingFor = 60 * time.Millisecond
+	// laggingLeast and laggingMost bound how long a replica is avoided that
+	// lacked a position: from the usual lag of a replica to a part of the lag
+	// of one that fell far behind.
+	laggingLeast = 50 * time.Millisecond
+	laggingMost  = 400 * time.Millisecond
 )
 
 // tables is the copy of the platform's tables.
@@ -79,6 +81,7 @@
 	measured     time.Duration
 	applied      logpos.Position
 	lagging      time.Duration
+	lagBackoff   time.Duration
 	running      int
 }
 
--- a/internal/services/pconn/pconn.go
+++ b/internal/services/pconn/pconn.go
@@ -30,6 +30,9 @@
 	Instance string
 	// Link carries the statements.
 	Link link.Link
+	// Resting tells that a transaction keeps the connection and runs nothing
+	// on it now.
+	Resting bool
 	// IdleSince is when the connection was last put back.
 	IdleSince time.Time
 
--- a/internal/services/runner/runner.go
+++ b/internal/services/runner/runner.go
@@ -123,6 +123,8 @@
 	}
 	if a.State == reply.Idle || !keeps {
 		r.end(a.State == reply.Idle)
+	} else {
+		r.pool.Rest(r.conn)
 	}
 	return a, nil
 }
@@ -135,6 +137,7 @@
 			"start the transaction again",
 		)
 	}
+	r.pool.Resume(r.conn)
 	r.conn.Adopt(e.Values)
 	e.Floor = logpos.Position{}
 	r.send(e)
--- a/internal/services/talk/attempt.go
+++ b/internal/services/talk/attempt.go
@@ -57,7 +57,7 @@
 func (a *attempt) do(ctx context.Context, e *errand.Errand) (reply.Reply, error) {
 	e.Instance = a.server.ID
 	e.Workspace = a.grant.workspace
-	e.Priority = a.grant.lane.Priority
+	e.Priority = a.grant.urgency()
 	e.Wait = a.wait
 	e.Deadline = a.deadline
 	asked := uptime.Now()
@@ -71,13 +71,23 @@
 		return r, err
 	}
 	a.view.Answered(a.server.ID, uptime.Now()-asked, r.Position)
-	if r.Outcome == reply.Lagging {
+	switch {
+	case r.Outcome == reply.Lagging:
 		a.view.Lagging(a.server.ID)
+	case !e.Floor.IsZero() && r.Outcome == reply.Done:
+		a.view.CaughtUp(a.server.ID)
 	}
 	a.view.Position(a.server.ID, asked, r.Position)
 	return r, nil
 }
 
+// urgency orders those who wait for an instance: by the lane's priority, and
+// among equals those first who expect their answer sooner. Whoever can wait
+// longest is refused first when there is not enough for all.
+func (g grant) urgency() int {
+	return g.lane.Priority*int(time.Minute/time.Millisecond) + int(g.lane.Target/time.Millisecond)
+}
+
 // single runs one statement outside of a transaction.
 func (a *attempt) single(ctx context.Context, q query.Query, values map[string]string, prepared string, floor logpos.Position) (reply.Reply, error) {
 	return a.do(ctx, &errand.Errand{
