--- a/internal/modules/uptime/uptime.go
+++ b/internal/modules/uptime/uptime.go
@@ -19,6 +19,13 @@
 	return time.Since(started) + gap() - suspended
 }
 
+// Restart makes the clock start anew. An emulator that plays hosts under a
+// paused clock calls it first, since that clock starts elsewhere.
+func Restart() {
+	started = time.Now()
+	suspended = gap()
+}
+
 // gap returns how long the machine has been suspended since its boot.
 func gap() time.Duration {
 	var boot, steady unix.Timespec
--- a/internal/services/change/change.go
+++ b/internal/services/change/change.go
@@ -34,8 +34,9 @@
 	// before it is replaced.
 	missingFor = time.Second
 	// touchAge is the age of the fleet's table past which this host counts as
-	// cut off: the copy is usually renewed twice a second.
-	touchAge = 1500 * time.Millisecond
+	// cut off. Other hosts read the store once a copy is older than a second, so
+	// that only a host without a way to any of them gets there.
+	touchAge = 2 * time.Second
 	// turn is how much longer each host waits than the one before it in the
 	// ranking.
 	turn = 1200 * time.Millisecond
--- a/internal/services/mirror/follow.go
+++ b/internal/services/mirror/follow.go
@@ -49,7 +49,7 @@
 	// Each call renews the leases of primaries.
 	Fleet: {
 		wait:  400 * time.Millisecond,
-		stale: 1300 * time.Millisecond,
+		stale: 1100 * time.Millisecond,
 	},
 	// Instances write every second or so; a feed would answer at once.
 	Servers: {
--- /dev/null
+++ b/internal/standin/town/fault_test.go
@@ -0,0 +1,354 @@
+package town_test
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/standin/shelf"
+	"wasabislip.example/wasabislip/internal/standin/town"
+)
+
+// writeUntil writes through a host until a write succeeds, and returns how
+// long that took; it fails after limit.
+func writeUntil(is *is.I, w *town.Town, host int, limit time.Duration) time.Duration {
+	is.Helper()
+	began := time.Now()
+	for time.Since(began) < limit {
+		c, hello := w.Call(host, "strict", "key-one")
+		if hello.OK() {
+			a := c.Do("WRITE probe x")
+			c.Close()
+			if a.OK() {
+				return time.Since(began)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Fail() // no write succeeded in time
+	return 0
+}
+
+// load is writers and readers of one counter each, until stopped. Each checks
+// that what it reads is no older than what it wrote.
+type load struct {
+	mu      sync.Mutex
+	stop    bool
+	wg      sync.WaitGroup
+	cut     int
+	stale   int
+	refused int
+	done    int
+	unknown int
+	codes   map[string]int
+}
+
+func startLoad(w *town.Town, hosts int) *load {
+	l := &load{
+		codes: map[string]int{},
+	}
+	for i := range 2 * hosts {
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			l.session(w, i%hosts, fmt.Sprintf("item-%d", i))
+		}()
+	}
+	return l
+}
+
+func (l *load) stopped() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stop
+}
+
+func (l *load) note(code string, lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case lost:
+		l.cut++
+	case code == "":
+		l.done++
+	case code == "INDOUBT":
+		l.unknown++
+	default:
+		l.refused++
+	}
+	l.codes[code]++
+}
+
+// session writes and reads through a host, and comes back when the session
+// ends.
+func (l *load) session(w *town.Town, host int, item string) {
+	n, acknowledged := 0, 0
+	for !l.stopped() {
+		c, hello := w.Call(host, "own", "key-one")
+		if !hello.OK() {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		for !l.stopped() {
+			n++
+			a := c.Do(fmt.Sprintf("WRITE %s %d", item, n))
+			if a.Lost {
+				break // the session had ended while it was idle, or was cut
+			}
+			l.note(a.Code, false)
+			if a.OK() {
+				acknowledged = n
+			}
+			r := c.Do("READ " + item)
+			if r.Lost {
+				break
+			}
+			if r.OK() {
+				l.check(r.Rows, acknowledged)
+			}
+			time.Sleep(40 * time.Millisecond)
+		}
+		c.Close()
+	}
+}
+
+// check counts a read that is older than the session's own last write.
+func (l *load) check(rows []string, acknowledged int) {
+	n := 0
+	if len(rows) == 1 {
+		n, _ = strconv.Atoi(rows[0])
+	}
+	if n < acknowledged {
+		l.mu.Lock()
+		l.stale++
+		l.mu.Unlock()
+	}
+}
+
+func (l *load) end() {
+	l.mu.Lock()
+	l.stop = true
+	l.mu.Unlock()
+	l.wg.Wait()
+}
+
+func TestPrimaryLost(t *testing.T) {
+	t.Run("a crashed primary is replaced within the bound", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			is.True(writeUntil(is, w, 0, time.Second) < time.Second)
+			w.Crash("i-1")
+			is.True(writeUntil(is, w, 0, 10*time.Second) < 5*time.Second)
+			is.True(w.Group.Primary() != "i-1")
+			is.Equal(len(w.Orders), 1)
+		})
+	})
+	t.Run("the replica that received most takes over", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			w.Group.Deafen("i-2", true)
+			is.True(writeUntil(is, w, 0, time.Second) < time.Second)
+			time.Sleep(100 * time.Millisecond)
+			w.Crash("i-1")
+			is.True(writeUntil(is, w, 0, 10*time.Second) < 5*time.Second)
+			is.Equal(w.Group.Primary(), "i-3")
+		})
+	})
+	t.Run("a primary that comes back is not used again", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			w.Crash("i-1")
+			is.True(writeUntil(is, w, 0, 10*time.Second) < 5*time.Second)
+			w.Start("i-1")
+			time.Sleep(5 * time.Second)
+			is.True(w.Group.Primary() != "i-1")
+			is.Equal(len(w.Orders), 1)
+		})
+	})
+	t.Run("nothing is promoted while every host only lost the store", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			w.Store.Fault = func(string, bool) string {
+				return shelf.Busy
+			}
+			l := startLoad(w, 6)
+			time.Sleep(9 * time.Second)
+			l.end()
+			is.Equal(len(w.Orders), 0)
+			is.Equal(l.stale, 0)
+			is.True(l.refused*20 < l.done) // the replicas prove the primary meanwhile
+		})
+	})
+	t.Run("hosts cut off with the primary stop using it before another leads", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			_, primary := town.Instance(0)
+			// Hosts 0 and 3 stay with the primary; the others and the store
+			// are on the other side.
+			cut(w, []string{town.IP(0), town.IP(3), primary})
+			defer mend(w, []string{town.IP(0), town.IP(3), primary})
+			took := writeUntil(is, w, 1, 12*time.Second)
+			is.True(took < 6*time.Second)
+			is.True(w.Group.Primary() != "i-1")
+			c, hello := w.Call(0, "strict", "key-one")
+			is.True(hello.OK())
+			a := c.Do("READ probe")
+			c.Close()
+			is.True(!a.OK()) // it would be a stale read
+		})
+	})
+	t.Run("a host is in touch again before it judges a primary", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			away := []string{town.IP(0), town.IP(3)}
+			cut(w, away)
+			time.Sleep(6 * time.Second)
+			orders := len(w.Orders)
+			mend(w, away)
+			time.Sleep(4 * time.Second)
+			is.Equal(len(w.Orders), orders)
+		})
+	})
+}
+
+// cut separates some machines from all others, callers excepted.
+func cut(w *town.Town, side []string) {
+	eachWay(side, w.Net.Cut)
+}
+
+func mend(w *town.Town, side []string) {
+	eachWay(side, w.Net.Mend)
+}
+
+func eachWay(side []string, f func(from, to string)) {
+	all := []string{"10.200.1.1", "10.200.0.2"}
+	for i := range 6 {
+		all = append(all, town.IP(i))
+	}
+	for i := range 3 {
+		_, ip := town.Instance(i)
+		all = append(all, ip)
+	}
+	inside := map[string]bool{}
+	for _, ip := range side {
+		inside[ip] = true
+	}
+	for _, a := range all {
+		for _, b := range all {
+			if inside[a] != inside[b] {
+				f(a, b)
+			}
+		}
+	}
+}
+
+func TestPlannedWork(t *testing.T) {
+	t.Run("a primary that is to leave hands over and loses nothing", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			l := startLoad(w, 6)
+			time.Sleep(2 * time.Second)
+			w.Drain("i-1")
+			time.Sleep(5 * time.Second)
+			l.end()
+			is.True(w.Group.Primary() != "i-1")
+			is.Equal(l.stale, 0)
+			is.Equal(l.unknown, 0)
+			is.Equal(len(w.Orders), 1)
+		})
+	})
+	t.Run("an evacuated data centre gets nothing after the bound", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			l := startLoad(w, 6)
+			time.Sleep(2 * time.Second)
+			w.Store.Put("op", "evacuate/a", map[string]any{})
+			time.Sleep(5 * time.Second)
+			before := len(w.Group.Runs())
+			time.Sleep(2 * time.Second)
+			l.end()
+			for _, r := range w.Group.Runs()[before:] {
+				is.True(r.Instance != "i-1")
+			}
+			is.True(len(w.Group.Runs()) > before)
+			is.Equal(l.stale, 0)
+		})
+	})
+	t.Run("a host that stops answers what it has read", func(t *testing.T) {
+		play(t, 3, func(is *is.I, w *town.Town) {
+			open, _ := w.Call(1, "strict", "key-one")
+			is.True(open.Do("BEGIN").OK())
+			is.True(open.Do("WRITE item x").OK())
+			l := startLoad(w, 3)
+			time.Sleep(time.Second)
+			stopped := w.Stop(1)
+			time.Sleep(2 * time.Second)
+			is.True(open.Do("COMMIT").OK()) // within half of the grace period
+			select {
+			case <-stopped:
+			case <-time.After(town.Grace):
+				is.Fail() // the host did not stop in time
+			}
+			l.end()
+			is.Equal(l.stale, 0)
+			is.Equal(l.unknown, 0)
+		})
+	})
+}
+
+func TestStore(t *testing.T) {
+	t.Run("a host that the store turns away learns from the others", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			w.Store.Fault = func(ip string, _ bool) string {
+				if ip == town.IP(4) {
+					return shelf.Silent
+				}
+				return ""
+			}
+			w.Configure(func(config map[string]any) {
+				config["tenants"] = []any{town.Workspace("one", 1000, "spare-one")}
+			})
+			time.Sleep(2500 * time.Millisecond)
+			_, a := w.Call(4, "strict", "key-one")
+			is.Equal(a.Code, "UNAUTH")
+			c, b := w.Call(4, "strict", "spare-one")
+			is.True(b.OK())
+			defer c.Close()
+			is.True(c.Do("READ item").OK())
+		})
+	})
+	t.Run("lost history is read anew", func(t *testing.T) {
+		play(t, 3, func(is *is.I, w *town.Town) {
+			w.Store.Forget()
+			w.Configure(func(config map[string]any) {
+				config["tenants"] = []any{town.Workspace("one", 1000, "spare-one")}
+			})
+			w.Store.Forget()
+			time.Sleep(2500 * time.Millisecond)
+			_, a := w.Call(0, "strict", "key-one")
+			is.Equal(a.Code, "UNAUTH")
+		})
+	})
+	t.Run("entries of other writers name no instance", func(t *testing.T) {
+		play(t, 3, func(is *is.I, w *town.Town) {
+			w.Store.Put("servers", "i-9", map[string]any{"service": 7})
+			w.Store.Put("servers", "i-8", map[string]any{"service": "ledger", "state": "odd", "address": "10.128.0.9:8080", "zone": "a", "db_role": "replica"})
+			w.Store.Put("servers", "i-7", "text")
+			time.Sleep(2 * time.Second)
+			c, _ := w.Call(0, "bounded", "key-one")
+			defer c.Close()
+			for range 5 {
+				is.True(c.Do("READ item").OK())
+			}
+		})
+	})
+	t.Run("few calls whatever the number of hosts", func(t *testing.T) {
+		calls := func(hosts int) int {
+			n := 0
+			play(t, hosts, func(_ *is.I, w *town.Town) {
+				before := w.Store.Calls()
+				time.Sleep(10 * time.Second)
+				n = w.Store.Calls() - before
+			})
+			return n
+		}
+		is := is.New(t)
+		is.True(calls(12) <= 2*calls(3))
+	})
+}
