Mend a crash of the pool, and find idle connections standing after a past deadline

Serving a waiter first drops idle connections that the instance closed, and then closed the longest idle one of none. Cause 2: the look at an idle connection was ended by the read deadline of its last use, so that every connection idle for longer was opened anew.

--- /dev/null
+++ b/internal/models/fences/fences_test.go
@@ -0,0 +1,66 @@
+package fences_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/models/fences"
+	"wasabislip.example/wasabislip/pkg/model/logpos"
+)
+
+func at(term, offset uint64) logpos.Position {
+	return logpos.Position{
+		Term:   term,
+		Offset: offset,
+	}
+}
+
+func TestFloor(t *testing.T) {
+	t.Run("nothing known", func(t *testing.T) {
+		is := is.New(t)
+		var f fences.Fences
+		_, ok := f.Floor(0)
+		is.True(!ok)
+	})
+	t.Run("the lowest position asked for no earlier", func(t *testing.T) {
+		is := is.New(t)
+		var f fences.Fences
+		for i := range uint64(10) {
+			f.Add(time.Duration(i+1)*time.Second, at(1, i*10))
+		}
+		p, ok := f.Floor(3500 * time.Millisecond)
+		is.True(ok)
+		is.Equal(p, at(1, 30))
+		_, ok = f.Floor(11 * time.Second)
+		is.True(!ok)
+	})
+	t.Run("an answer that was asked for earlier is ignored", func(t *testing.T) {
+		is := is.New(t)
+		var f fences.Fences
+		f.Add(2*time.Second, at(1, 5))
+		f.Add(time.Second, at(1, 9))
+		p, _ := f.Floor(0)
+		is.Equal(p, at(1, 5))
+	})
+	t.Run("a former primary's position does not replace a newer term's", func(t *testing.T) {
+		is := is.New(t)
+		var f fences.Fences
+		f.Add(time.Second, at(2, 5))
+		f.Add(2*time.Second, at(1, 99))
+		asked, p, _ := f.Newest()
+		is.Equal(p, at(2, 5))
+		is.Equal(asked, time.Second)
+	})
+	t.Run("some seconds are covered at any rate of answers", func(t *testing.T) {
+		is := is.New(t)
+		var f fences.Fences
+		for i := range uint64(4000) {
+			f.Add(time.Duration(i)*time.Millisecond, at(1, i))
+		}
+		p, ok := f.Floor(1500 * time.Millisecond)
+		is.True(ok)
+		is.True(p.Offset >= 1500 && p.Offset < 1700)
+	})
+}
--- /dev/null
+++ b/internal/models/share/share_test.go
@@ -0,0 +1,77 @@
+package share_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/models/share"
+)
+
+func TestPart(t *testing.T) {
+	cases := map[string][]float64{
+		"below the rate": {5, 10, 0, 20},
+		"at the rate":    {50, 50, 0},
+		"above the rate": {400, 10, 0, 90},
+		"nobody asks":    {0, 0, 0},
+	}
+	for name, demands := range cases {
+		t.Run(name+": parts sum up to the rate", func(t *testing.T) {
+			is := is.New(t)
+			all := 0.0
+			for _, d := range demands {
+				all += d
+			}
+			sum := 0.0
+			for _, d := range demands {
+				sum += share.Part(100, d, all, len(demands))
+			}
+			is.True(math.Abs(sum-100) < 0.001)
+		})
+	}
+	t.Run("below the rate each host has room for what comes next", func(t *testing.T) {
+		is := is.New(t)
+		is.True(share.Part(100, 0, 50, 10) >= 5)
+		is.True(share.Part(100, 10, 50, 10) >= 15)
+	})
+}
+
+func TestPack(t *testing.T) {
+	is := is.New(t)
+	is.Equal(share.Unpack(share.Pack(0)), 0.0)
+	for d := 0.2; d < 50_000; d *= 1.07 {
+		got := share.Unpack(share.Pack(d))
+		is.True(math.Abs(got-d)/d < 1.0/12)
+	}
+}
+
+func TestTake(t *testing.T) {
+	start := time.Unix(100, 0)
+	t.Run("no more than the part and the burst", func(t *testing.T) {
+		is := is.New(t)
+		var s share.Share
+		s.Set(start, 10, 5)
+		taken := 0
+		for i := range 2000 {
+			if ok, _ := s.Take(start.Add(time.Duration(i) * time.Millisecond)); ok {
+				taken++
+			}
+		}
+		is.True(taken <= 25)
+		is.True(taken >= 20)
+	})
+	t.Run("a refusal tells when the next token is there", func(t *testing.T) {
+		is := is.New(t)
+		var s share.Share
+		s.Set(start, 10, 2)
+		ok, _ := s.Take(start)
+		is.True(ok)
+		ok, after := s.Take(start)
+		is.True(!ok)
+		is.Equal(after, 100*time.Millisecond)
+		ok, _ = s.Take(start.Add(after))
+		is.True(ok)
+	})
+}
--- a/internal/modules/alive/alive.go
+++ b/internal/modules/alive/alive.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -17,6 +18,10 @@
 	if !ok {
 		return true
 	}
+	// A deadline of the last use that has passed since would end the look.
+	if c.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
 	raw, err := s.SyscallConn()
 	if err != nil {
 		return false
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -406,8 +406,7 @@
 // workspace that uses least.
 func (p *Pool) serve() {
 	for len(p.waiting) > 0 && p.room() {
-		room := p.open < p.limit()
-		if !room && len(p.idle) == 0 {
+		if p.open >= p.limit() && len(p.idle) == 0 {
 			return
 		}
 		w := p.next()
@@ -416,7 +415,7 @@
 			w.grant <- c
 			continue
 		}
-		if !room {
+		if p.open >= p.limit() && len(p.idle) > 0 {
 			p.evict()
 		}
 		p.open++
--- /dev/null
+++ b/internal/services/conns/conns_test.go
@@ -0,0 +1,150 @@
+package conns_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/services/conns"
+	"wasabislip.example/wasabislip/internal/services/link"
+	"wasabislip.example/wasabislip/internal/services/pconn"
+	"wasabislip.example/wasabislip/internal/standin/strand"
+	"wasabislip.example/wasabislip/pkg/model/fault"
+)
+
+// dialer hands out the strands that a test sends it.
+type dialer struct {
+	next chan *strand.Strand
+}
+
+func (d *dialer) Dial(context.Context, string) (link.Link, error) {
+	return <-d.next, nil
+}
+
+func open(n int) *dialer {
+	d := &dialer{
+		next: make(chan *strand.Strand, 100),
+	}
+	for range n {
+		d.next <- &strand.Strand{}
+	}
+	return d
+}
+
+func newPool(d *dialer, slots, limit int) *conns.Pool {
+	p := conns.New(server.Server{
+		ID:    "i-1",
+		Slots: slots,
+	}, d)
+	p.Resize(limit, 1)
+	return p
+}
+
+func get(p *conns.Pool, workspace string, wait time.Duration) (*pconn.Conn, error) {
+	return p.Get(context.Background(), workspace, nil, 0, wait)
+}
+
+func TestPool(t *testing.T) {
+	t.Run("a workspace gets its connection again", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(open(2), 3, 10)
+		c, err := get(p, "one", 0)
+		is.NoErr(err)
+		p.Put(c)
+		again, err := get(p, "one", 0)
+		is.NoErr(err)
+		is.True(again == c)
+		other, err := get(p, "two", 0)
+		is.NoErr(err)
+		is.True(other != c)
+	})
+	t.Run("a connection that the instance closed is not used", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(open(2), 3, 10)
+		c, _ := get(p, "one", 0)
+		p.Put(c)
+		c.Link.(*strand.Strand).Break()
+		again, err := get(p, "one", 0)
+		is.NoErr(err)
+		is.True(again != c)
+		is.True(c.Link.(*strand.Strand).Closed())
+	})
+	t.Run("a resting transaction leaves room for others", func(t *testing.T) {
+		is := is.New(t)
+		p := newPool(open(5), 1, 20) // three run at once
+		var held []*pconn.Conn
+		for range 3 {
+			c, err := get(p, "one", 0)
+			is.NoErr(err)
+			held = append(held, c)
+		}
+		_, err := get(p, "one", 0)
+		is.True(fault.IsKind(err, fault.Overloaded))
+		p.Rest(held[0])
+		_, err = get(p, "one", 0)
+		is.NoErr(err)
+	})
+	t.Run("the more urgent goes first", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(open(9), 1, 20)
+			var held []*pconn.Conn
+			for range 3 {
+				c, _ := get(p, "one", 0)
+				held = append(held, c)
+			}
+			order := make(chan int, 2)
+			for _, priority := range []int{2, 1} {
+				go func() {
+					c, err := p.Get(context.Background(), "one", nil, priority, time.Second)
+					if err == nil {
+						order <- priority
+						time.Sleep(10 * time.Millisecond)
+						p.Put(c)
+					}
+				}()
+				synctest.Wait()
+			}
+			p.Put(held[0])
+			is.Equal(<-order, 1)
+			is.Equal(<-order, 2)
+			time.Sleep(time.Second) // the callers end
+		})
+	})
+	// Found by hunt hanbit-swap trouble-3 --seed 991881264480.
+	t.Run("a closed connection among the idle ones while one waits", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d := open(1)
+			p := newPool(d, 0, 20)
+			idle, _ := get(p, "one", 0)
+			p.Put(idle)
+			for range 3 {
+				go func() {
+					_, _ = get(p, "two", 0) // the dial hangs until the test ends it
+				}()
+			}
+			synctest.Wait()
+			served := make(chan error, 1)
+			go func() {
+				_, err := get(p, "one", time.Second)
+				served <- err
+			}()
+			synctest.Wait()
+			idle.Link.(*strand.Strand).Break()
+			d.next <- &strand.Strand{
+				Refuses: true,
+			}
+			synctest.Wait()
+			for range 8 {
+				d.next <- &strand.Strand{}
+			}
+			is.NoErr(<-served)
+			time.Sleep(time.Second) // the callers end
+		})
+	})
+}
--- a/internal/services/talk/tx.go
+++ b/internal/services/talk/tx.go
@@ -153,6 +153,7 @@
 		tx.primary = true
 		return nil
 	}
+	a.carrier.Close()
 	tx.end()
 	if err != nil {
 		return s.refusal(reply.Busy, "not-started", err.Error(), busyAfter)
@@ -175,10 +176,12 @@
 		if to.ID == l.Primary || i >= maxTries {
 			return false
 		}
-		r, err := s.try(v, to, g, 0, deadline).start(ctx, tx, values, floor)
+		a := s.try(v, to, g, 0, deadline)
+		r, err := a.start(ctx, tx, values, floor)
 		if err == nil && r.Outcome == reply.Done {
 			return true
 		}
+		a.carrier.Close()
 	}
 	return false
 }
