Spread the whole burst over the window above the rate

Cause: operations of a workspace above its rate are owed up to what a window allows; half of the burst was kept for bursts that such a workspace has no more.

--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -25,7 +25,7 @@
 	// in which the rate is counted while a workspace is asked for more than
 	// its rate, so that it gets what the window allows also when callers come
 	// all the time.
-	sustained = 0.5
+	sustained = 1.0
 	// certain is the part of what a window allows that is given out. The rest
 	// covers the moments in which hosts know different demands.
 	certain = 0.95
