--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -18,14 +18,10 @@
 	shardCount = 16
 	// window is over how long demand is averaged.
 	window = 3 * time.Second
-	// settleDelay is how long a host uses its own demand as the others may
-	// still know it: about what gossip takes to reach every host.
-	settleDelay = time.Second
-	// sustained is the part of a declared burst that is spread over the window
-	// in which the rate is counted while a workspace is asked for more than
-	// its rate, so that it gets what the window allows also when callers come
-	// all the time.
-	sustained = 1.0
+	// settleDelay is how old a host's own demand is at least when it divides by
+	// it, and at most twice that: as the others know it, after what gossip
+	// takes to reach them.
+	settleDelay = 500 * time.Millisecond
 	// certain is the part of what a window allows that is given out. The rest
 	// covers the moments in which hosts know different demands.
 	certain = 0.95
@@ -69,8 +65,12 @@
 	asked   float64
 	since   time.Time
 	demand  float64
+	pending float64
 	settled float64
 	changed time.Time
+	// over is since when the workspace is asked for more than its rate; zero
+	// while it is not.
+	over time.Time
 	// declared, part and elsewhere are what the last division went by.
 	declared  float64
 	part      float64
@@ -118,11 +118,25 @@
 	w.asked = 0
 	w.since = now
 	if now.Sub(w.changed) >= settleDelay {
-		w.settled = w.demand
+		w.settled = w.pending
+		w.pending = w.demand
 		w.changed = now
 	}
 }
 
+// exceeded returns for how long the workspace has been asked for more than its
+// rate.
+func (w *usage) exceeded(now time.Time, over bool) time.Duration {
+	if !over {
+		w.over = time.Time{}
+		return 0
+	}
+	if w.over.IsZero() {
+		w.over = now
+	}
+	return now.Sub(w.over)
+}
+
 // Demands returns what this host is asked for, a byte for each workspace of
 // the policy in the order of names, and the policy's version.
 func (r *Rates) Demands() (demands []byte, version uint64) {
@@ -176,7 +190,7 @@
 		w.average(now)
 		own := share.Unpack(share.Pack(w.settled))
 		hosts := max(len(others)+1, size)
-		rate, burst := r.budget(declared, all+own > declared.Rate)
+		rate, burst := r.budget(declared, w.exceeded(now, all+own > declared.Rate) >= r.Window)
 		part := share.Part(rate, own, all+own, hosts)
 		w.declared = declared.Rate
 		w.part = part
@@ -189,14 +203,16 @@
 // budget returns the rate and the burst that all hosts share, so that a window
 // holds no more than it allows: rate x window + burst, and the tolerance that
 // operators grant since hosts can't know at each moment what others admitted.
-func (r *Rates) budget(w space.Workspace, exceeded bool) (rate, burst float64) {
+// The burst is taken at once by a workspace that starts to exceed its rate, so
+// that it is spread only once a window has passed since.
+func (r *Rates) budget(w space.Workspace, spread bool) (rate, burst float64) {
 	window := r.Window.Seconds()
 	allowed := (w.Rate*window+w.Burst)*(1+r.Overage) + r.Tolerance
 	rate = w.Rate
-	if exceeded {
-		rate += sustained * w.Burst / window
+	if spread {
+		rate += w.Burst / window
 	}
-	return rate, max(w.Burst*(1-sustained), certain*allowed-rate*window)
+	return rate, max(0, certain*allowed-rate*window)
 }
 
 // adopt takes the policy and forgets workspaces that it lacks.
--- /dev/null
+++ b/internal/services/rates/rates_test.go
@@ -0,0 +1,173 @@
+package rates_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/models/policy"
+	"wasabislip.example/wasabislip/internal/services/rates"
+	"wasabislip.example/wasabislip/pkg/model/space"
+)
+
+const (
+	counted   = 5 * time.Second
+	overage   = 0.1
+	tolerance = 20
+	// gossipDelay is how long a host's demand takes to the others.
+	gossipDelay = 600 * time.Millisecond
+	// step is the time between two arrivals of the play.
+	step = 5 * time.Millisecond
+)
+
+// fleet is hosts that hear each other's demands late.
+type fleet struct {
+	hosts  []*rates.Rates
+	policy *policy.Policy
+	told   [][][]byte // by round, by host
+}
+
+func newFleet(n int, rate, burst float64) *fleet {
+	f := &fleet{
+		policy: &policy.Policy{
+			Version: 1,
+			Workspaces: map[string]space.Workspace{
+				"w": {
+					Name:  "w",
+					Rate:  rate,
+					Burst: burst,
+				},
+			},
+		},
+	}
+	for range n {
+		f.hosts = append(f.hosts, &rates.Rates{
+			Window:    counted,
+			Overage:   overage,
+			Tolerance: tolerance,
+		})
+	}
+	return f
+}
+
+// share is one round: each host hears the others' demands of a while ago.
+func (f *fleet) share() {
+	var round [][]byte
+	for _, h := range f.hosts {
+		d, _ := h.Demands()
+		round = append(round, d)
+	}
+	f.told = append(f.told, round)
+	late := max(0, len(f.told)-1-int(gossipDelay/(200*time.Millisecond)))
+	for i, h := range f.hosts {
+		var others [][]byte
+		for j, d := range f.told[late] {
+			if j != i {
+				others = append(others, d)
+			}
+		}
+		h.Divide(f.policy, others, len(f.hosts))
+	}
+}
+
+// load is the operations a second that callers ask for, at a time of the play.
+type load func(at time.Duration) float64
+
+// play returns the times of the operations admitted; each refused one comes
+// again twice. skew is the part of the load that goes to the first host.
+func (f *fleet) play(length time.Duration, l load, skew float64) (admitted []time.Duration, asked int) {
+	random := rand.New(rand.NewPCG(1, 2))
+	start := time.Now()
+	again := map[int]int{}
+	for n := 0; time.Since(start) < length; n++ {
+		if n%40 == 0 {
+			f.share()
+		}
+		arrivals := again[n]
+		delete(again, n)
+		expected := l(time.Since(start)) * step.Seconds()
+		for expected > 0 && random.Float64() < expected {
+			arrivals++
+			asked++
+			expected--
+		}
+		for range arrivals {
+			host := 0
+			if random.Float64() > skew {
+				host = random.IntN(len(f.hosts))
+			}
+			if ok, _, _ := f.hosts[host].Admit("w"); ok {
+				admitted = append(admitted, time.Since(start))
+			} else if random.Float64() < 0.66 {
+				again[n+10+random.IntN(30)]++
+			}
+		}
+		time.Sleep(step)
+	}
+	return admitted, asked
+}
+
+// most returns the most operations admitted in any window.
+func most(admitted []time.Duration) int {
+	best, first := 0, 0
+	for i, at := range admitted {
+		for admitted[first] < at-counted {
+			first++
+		}
+		best = max(best, i-first+1)
+	}
+	return best
+}
+
+func TestWindow(t *testing.T) {
+	plays := map[string]load{
+		"eight times the usual at once": func(at time.Duration) float64 {
+			if at > 8*time.Second && at < 16*time.Second {
+				return 8 * 125
+			}
+			return 125
+		},
+		"on and off": func(at time.Duration) float64 {
+			if int(at/(3*time.Second))%2 == 0 {
+				return 1500
+			}
+			return 10
+		},
+		"far above the rate all the time": func(time.Duration) float64 {
+			return 900
+		},
+	}
+	for name, l := range plays {
+		for _, skew := range []float64{0, 0.7} {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(9, 200, 200)
+					admitted, _ := f.play(30*time.Second, l, skew)
+					allowed := (200*counted.Seconds()+200)*(1+overage) + tolerance
+					t.Logf("at most %d in a window, allowed %.0f", most(admitted), allowed)
+					is.True(float64(most(admitted)) <= allowed)
+				})
+			})
+		}
+	}
+	t.Run("below the rate next to nothing is refused", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(9, 40, 40)
+			admitted, asked := f.play(30*time.Second, func(time.Duration) float64 { return 25 }, 0.3)
+			is.True(len(admitted)*1000 >= asked*995)
+		})
+	})
+	t.Run("above the rate a workspace gets what the window allows", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(9, 25, 25)
+			admitted, _ := f.play(30*time.Second, func(time.Duration) float64 { return 40 }, 0.3)
+			is.True(len(admitted) >= 30*25)
+		})
+	})
+}
