Come back faster after all hosts lost power

Change: hosts keep half of an instance's connections while idle; demands are learned from the first moments, rise fast and fall slowly; parts of hosts not heard yet stay theirs.

--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -18,10 +18,13 @@
 )
 
 const (
-	// reserve is how many of an instance's connections no host keeps: room
-	// for hosts that have just started and for connections of hosts that went
-	// dark, which the instance drops only after seconds.
+	// reserve is how many of an instance's connections no host counts on: room
+	// for hosts that have just started.
 	reserve = 2
+	// keptPart is the part of an instance's connections that hosts keep open
+	// while they are idle. An instance drops the connections of hosts that
+	// lost power only after seconds; the rest is what those hosts come back to.
+	keptPart = 0.5
 	// borrowed is how many connections a host may hold beyond its even part,
 	// as long as the instance takes them.
 	borrowed = 3
@@ -59,7 +62,10 @@
 	server server.Server
 	dialer dialer
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// part is the host's even part of the connections, keep how many of them
+	// it keeps open while they are idle.
+	part    int
 	keep    int
 	open    int
 	idle    []*pconn.Conn // the longest idle first
@@ -90,6 +96,7 @@
 	return &Pool{
 		server: s,
 		dialer: d,
+		part:   1,
 		keep:   1,
 		inUse:  map[string]int{},
 	}
@@ -101,7 +108,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sharing = max(hosts, 1)
-	p.keep = max(1, (limit-reserve)/p.sharing)
+	p.part = max(1, (limit-reserve)/p.sharing)
+	p.keep = max(1, int(keptPart*float64(limit))/p.sharing)
 }
 
 // Get returns a connection for the workspace that holds the session values if
@@ -187,7 +195,7 @@
 	if time.Now().Before(p.full) {
 		return max(1, p.fullAt)
 	}
-	return p.keep + borrowed
+	return p.part + borrowed
 }
 
 // room reports whether one more statement may go to the instance now.
--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -16,8 +16,13 @@
 
 const (
 	shardCount = 16
-	// window is over how long demand is averaged.
-	window = 3 * time.Second
+	// window is over how long demand is averaged, and riseWindow where that
+	// shows that it rises: a host that gets more callers needs its part soon,
+	// one that lost them can keep it for a while.
+	window     = 3 * time.Second
+	riseWindow = time.Second
+	// leastLook is the least time over which demand is counted after a start.
+	leastLook = 100 * time.Millisecond
 	// settleDelay is how old a host's own demand is at least when it divides by
 	// it, and at most twice that: as the others know it, after what gossip
 	// takes to reach them.
@@ -61,9 +66,13 @@
 
 // usage is one workspace on this host.
 type usage struct {
-	bucket  share.Share
-	asked   float64
+	bucket share.Share
+	asked  float64
+	// first is when the host first heard of the workspace.
+	first   time.Time
 	since   time.Time
+	slow    float64
+	fast    float64
 	demand  float64
 	pending float64
 	settled float64
@@ -109,14 +118,21 @@
 // average folds the operations asked for since the last call into the demand.
 func (w *usage) average(now time.Time) {
 	passed := now.Sub(w.since)
-	if passed < window/8 {
+	if passed < min(window/8, max(leastLook, now.Sub(w.first)/4)) {
 		return
 	}
 	rate := w.asked / passed.Seconds()
-	weight := min(1, passed.Seconds()/window.Seconds())
-	w.demand += (rate - w.demand) * weight
+	known := now.Sub(w.first)
+	w.slow += (rate - w.slow) * min(1, passed.Seconds()/min(window, known).Seconds())
+	w.fast += (rate - w.fast) * min(1, passed.Seconds()/min(riseWindow, known).Seconds())
+	w.demand = max(w.slow, w.fast)
 	w.asked = 0
 	w.since = now
+	if known < window {
+		// Soon after a start nobody knows the demands yet; what is known late
+		// would be nothing.
+		w.pending, w.settled = w.demand, w.pending
+	}
 	if now.Sub(w.changed) >= settleDelay {
 		w.settled = w.pending
 		w.pending = w.demand
@@ -165,16 +181,17 @@
 }
 
 // Divide takes the configuration and what the other live hosts are asked for.
-// A host that told nothing for this configuration counts with no demand. size
+// A host that told nothing for this configuration is left its even part. size
 // is how many hosts there are at least.
 func (r *Rates) Divide(p *policy.Policy, others [][]byte, size int) {
 	names := r.adopt(p)
 	now := time.Now()
 	for i, name := range names {
-		all := 0.0
+		all, known := 0.0, 1
 		for _, demands := range others {
 			if i < len(demands) {
 				all += share.Unpack(demands[i])
+				known++
 			}
 		}
 		declared := p.Workspaces[name]
@@ -183,6 +200,7 @@
 		w, ok := s.spaces[name]
 		if !ok {
 			w = &usage{
+				first: now,
 				since: now,
 			}
 			s.add(name, w)
@@ -191,7 +209,9 @@
 		own := share.Unpack(share.Pack(w.settled))
 		hosts := max(len(others)+1, size)
 		rate, burst := r.budget(declared, w.exceeded(now, all+own > declared.Rate) >= r.Window)
-		part := share.Part(rate, own, all+own, hosts)
+		// The even parts of hosts whose demands are not known stay theirs.
+		heard := rate * float64(known) / float64(hosts)
+		part := share.Part(heard, own, all+own, known)
 		w.declared = declared.Rate
 		w.part = part
 		w.elsewhere = all
