Count each workspace's operations at a home

Change: a home for each workspace among the live hosts grants operations, one message each on the connections between hosts; a home that hears only some of the hosts grants their part of the rate. Where it does not answer within 60 ms the parts decide as before.

--- a/internal/models/errand/errand.go
+++ b/internal/models/errand/errand.go
@@ -19,6 +19,8 @@
 	Inside
 	// Abandon rolls the open transaction back. It has no answer.
 	Abandon
+	// Admit takes one operation of the workspace from its rate, at its home.
+	Admit
 )
 
 // Errand is one statement on its way.
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -15,7 +15,9 @@
 	"k8s.io/klog/v2"
 
 	"wasabislip.example/wasabislip/internal/gen/wasabislip/v1/wasabislipv1connect"
+	"wasabislip.example/wasabislip/internal/models/errand"
 	"wasabislip.example/wasabislip/internal/models/policy"
+	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/tuple"
 	"wasabislip.example/wasabislip/internal/modules/audit"
@@ -41,6 +43,10 @@
 const (
 	// divideEvery is the time between two divisions of the workspaces' rates.
 	divideEvery = 200 * time.Millisecond
+	// homeTimeout bounds the question whether an operation is within its
+	// workspace's rate, which takes a round trip; past it the host's own part
+	// of the rate decides.
+	homeTimeout = 60 * time.Millisecond
 	// settleTime is how long after its start a host may not have heard of all
 	// others: some rounds of gossip.
 	settleTime = 2 * time.Second
@@ -167,6 +173,22 @@
 	return max(heard, registered)
 }
 
+// Home returns the host that counts a workspace's operations; false when it is
+// this one.
+func (h *Host) Home(workspace string) (host.Host, bool) {
+	return h.haul.Home(workspace)
+}
+
+// Ask asks another host to count one operation.
+func (h *Host) Ask(ctx context.Context, home host.Host, workspace string) (ok bool, after time.Duration, why string, err error) {
+	r, err := h.haul.Ask(ctx, home, &errand.Errand{
+		Kind:      errand.Admit,
+		Workspace: workspace,
+		Deadline:  time.Now().Add(homeTimeout),
+	})
+	return r.Outcome == reply.Done, r.RetryAfter, r.Message, err
+}
+
 // Size returns how many hosts share the workspaces' rates. Soon after the start few were heard, but all are
 // registered.
 func (h *Host) Size() int {
@@ -195,6 +217,7 @@
 		return dbview.New(service, self.DataCentre, mirror.Fleet, h.mirror, registry)
 	})
 	h.rates = &rates.Rates{
+		Homes: h,
 		Window:    h.Settings.RateWindow,
 		Overage:   h.Settings.RateOverage,
 		Tolerance: h.Settings.RateTolerance,
@@ -205,7 +228,7 @@
 	registry.census = h.census
 	h.depot = depot.New(h.mirror, h, h.Instances)
 	h.haul = haul.New(self, h.gossip, h.mirror, h.depot, h.Network.Dial)
-	h.holder = holder.New(h.mirror, h.depot)
+	h.holder = holder.New(h.mirror, h.depot, h.rates)
 	h.audit = audit.New()
 	h.counts = counts.New()
 	h.publish()
@@ -302,7 +325,7 @@
 		case <-t.C:
 		}
 		if p := h.mirror.Policy(); p != nil {
-			h.rates.Divide(p, h.gossip.Others(p.Version), h.Size())
+			h.rates.Divide(p, h.gossip.Others(p.Version), h.Size(), len(h.gossip.Alive())+1)
 		}
 	}
 }
--- a/internal/routers/holder/holder.go
+++ b/internal/routers/holder/holder.go
@@ -47,10 +47,16 @@
 	Pool(s server.Server) *conns.Pool
 }
 
+// rates are the workspaces' rates whose home this host is.
+type rates interface {
+	Grant(workspace string) (ok bool, after time.Duration, why string)
+}
+
 // Holder serves other hosts. It is safe for concurrent use.
 type Holder struct {
 	directory directory
 	pools     pools
+	rates     rates
 
 	mu   sync.Mutex
 	busy int
@@ -58,10 +64,11 @@
 }
 
 // New returns a holder.
-func New(d directory, p pools) *Holder {
+func New(d directory, p pools, r rates) *Holder {
 	return &Holder{
 		directory: d,
 		pools:     p,
+		rates:     r,
 		all:       map[net.Conn]struct{}{},
 	}
 }
@@ -163,7 +170,7 @@
 		}
 		x.mark(true)
 		e := decode(&m)
-		a, err := x.runner.Do(ctx, e)
+		a, err := x.do(ctx, e)
 		if e.Kind == errand.Abandon {
 			x.mark(false)
 			continue
@@ -175,15 +182,31 @@
 	}
 }
 
+func (x *exchange) do(ctx context.Context, e *errand.Errand) (reply.Reply, error) {
+	if e.Kind != errand.Admit {
+		return x.runner.Do(ctx, e)
+	}
+	ok, after, why := x.holder.rates.Grant(e.Workspace)
+	if ok {
+		return reply.Reply{}, nil
+	}
+	return reply.Reply{
+		Outcome:    reply.Busy,
+		Message:    why,
+		RetryAfter: after,
+	}, nil
+}
+
 func (x *exchange) answer(a *reply.Reply, failure error) error {
 	m := &wasabislipv1.ErrandAnswer{
-		Rows:      a.Rows,
-		Outcome:   int32(a.Outcome),
-		Signature: a.Signature,
-		Message:   a.Message,
-		State:     int32(a.State),
-		Term:      a.Position.Term,
-		Offset:    a.Position.Offset,
+		Rows:         a.Rows,
+		Outcome:      int32(a.Outcome),
+		Signature:    a.Signature,
+		Message:      a.Message,
+		RetryAfterMs: uint32(a.RetryAfter / time.Millisecond),
+		State:        int32(a.State),
+		Term:         a.Position.Term,
+		Offset:       a.Position.Offset,
 	}
 	if failure != nil {
 		m.Fault = fault.OutcomeUnknown
--- a/internal/services/haul/haul.go
+++ b/internal/services/haul/haul.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -82,6 +83,33 @@
 	}
 }
 
+// Ask sends one errand that is not for an instance to a host. An error says
+// that the host gave no answer.
+func (h *Haul) Ask(ctx context.Context, to host.Host, e *errand.Errand) (reply.Reply, error) {
+	t := &trip{
+		haul:   h,
+		holder: to,
+	}
+	if h.avoids(to.Name, "", time.Now()) {
+		return reply.Reply{}, errAvoided
+	}
+	err := t.connect(ctx)
+	if err != nil {
+		h.avoid(to.Name)
+		return reply.Reply{}, err
+	}
+	r, err := t.remote.do(e)
+	if err != nil {
+		t.drop()
+		h.avoid(to.Name)
+		return r, err
+	}
+	t.put()
+	return r, nil
+}
+
+var errAvoided = errors.New("the host did not answer lately; ask again later")
+
 // trip is one caller's statement or transaction on its way. One goroutine uses
 // it at a time.
 type trip struct {
@@ -142,6 +170,23 @@
 	return h.hosts
 }
 
+// Home returns the host that counts a workspace's operations; false when it is
+// this one. It is the same for all hosts that hear the same others.
+func (h *Haul) Home(workspace string) (host.Host, bool) {
+	best := host.Host{}
+	most := weight("rate", workspace, h.self.Name)
+	for _, other := range h.alive(time.Now()) {
+		if other.State != host.Alive || other.RunAddress == "" {
+			continue
+		}
+		if n := weight("rate", workspace, other.Name); n > most {
+			best = other
+			most = n
+		}
+	}
+	return best, best.Name != ""
+}
+
 func weight(instance, workspace, name string) uint64 {
 	return xxhash.Sum64String(instance + "/" + workspace + "/" + name)
 }
--- a/internal/services/haul/remote.go
+++ b/internal/services/haul/remote.go
@@ -75,11 +75,12 @@
 		return reply.Reply{}, fault.New(a.GetFault(), a.GetReason(), "retry later")
 	}
 	return reply.Reply{
-		Rows:      a.GetRows(),
-		Outcome:   int(a.GetOutcome()),
-		Signature: a.GetSignature(),
-		Message:   a.GetMessage(),
-		State:     int(a.GetState()),
+		Rows:       a.GetRows(),
+		Outcome:    int(a.GetOutcome()),
+		Signature:  a.GetSignature(),
+		Message:    a.GetMessage(),
+		RetryAfter: time.Duration(a.GetRetryAfterMs()) * time.Millisecond,
+		State:      int(a.GetState()),
 		Position: logpos.Position{
 			Term:   a.GetTerm(),
 			Offset: a.GetOffset(),
--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -1,32 +1,26 @@
 // Package rates admits operations within each workspace's rate over all hosts.
-// No message is sent for an operation: hosts tell each other what they are
-// asked for, and each takes its part of the rate.
+// Each workspace has a home among the live hosts, which counts. Where it does
+// not answer, hosts go by what they tell each other of their demands, and each
+// takes its part of the rate.
 package rates
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/models/share"
+	"wasabislip.example/wasabislip/pkg/model/host"
 	"wasabislip.example/wasabislip/pkg/model/space"
 )
 
 const (
 	shardCount = 16
-	// window is over how long demand is averaged, and riseWindow where that
-	// shows that it rises: a host that gets more callers needs its part soon,
-	// one that lost them can keep it for a while.
-	window     = 3 * time.Second
-	riseWindow = time.Second
-	// leastLook is the least time over which demand is counted after a start.
-	leastLook = 100 * time.Millisecond
-	// settleDelay is how old a host's own demand is at least when it divides by
-	// it, and at most twice that: as the others know it, after what gossip
-	// takes to reach them.
-	settleDelay = 500 * time.Millisecond
 	// certain is the part of what a window allows that is given out. The rest
 	// covers the moments in which hosts know different demands.
 	certain = 0.95
@@ -35,9 +29,17 @@
 	leastBurst = 2
 )
 
+// homes are the hosts that count the operations of workspaces.
+type homes interface {
+	Home(workspace string) (home host.Host, elsewhere bool)
+	Ask(ctx context.Context, home host.Host, workspace string) (ok bool, after time.Duration, why string, err error)
+}
+
 // Rates admits operations. Its fields are set before the first call. It is
 // safe for concurrent use.
 type Rates struct {
+	// Homes are the hosts that count; nil where each host keeps to its part.
+	Homes homes
 	// Window is the time in which operators count rate and burst.
 	Window time.Duration
 	// Overage is the part of a window's operations by which it may be
@@ -66,38 +68,46 @@
 
 // usage is one workspace on this host.
 type usage struct {
+	// policy is the workspace as it is declared.
+	policy space.Workspace
+	// here counts what this host admitted by its part, and bucket is that part.
+	here   demand
 	bucket share.Share
-	asked  float64
-	// first is when the host first heard of the workspace.
-	first   time.Time
-	since   time.Time
-	slow    float64
-	fast    float64
-	demand  float64
-	pending float64
-	settled float64
-	changed time.Time
-	// over is since when the workspace is asked for more than its rate; zero
-	// while it is not.
-	over time.Time
-	// declared, part and elsewhere are what the last division went by.
-	declared  float64
+	// part and elsewhere are what the last division went by.
 	part      float64
 	elsewhere float64
+	// counted is what all hosts ask this one for as the home, and home what it
+	// grants them; heard is the part of the hosts that it hears.
+	counted demand
+	home    share.Share
+	heard   float64
 }
 
 func (r *Rates) shard(workspace string) *shard {
-	var n uint32
-	for i := range len(workspace) {
-		n = n*31 + uint32(workspace[i])
+	return &r.shards[xxhash.Sum64String(workspace)%shardCount]
+}
+
+// Admit takes one operation of a workspace from its rate, at the workspace's
+// home, or from the host's part of the rate where the home does not answer.
+// When there is none left, after is when to come back, and why tells what
+// decided.
+func (r *Rates) Admit(ctx context.Context, workspace string) (ok bool, after time.Duration, why string) {
+	if r.Homes == nil {
+		return r.admit(workspace)
+	}
+	home, elsewhere := r.Homes.Home(workspace)
+	if !elsewhere {
+		return r.Grant(workspace)
 	}
-	return &r.shards[n%shardCount]
+	ok, after, why, err := r.Homes.Ask(ctx, home, workspace)
+	if err == nil {
+		return ok, after, why
+	}
+	return r.admit(workspace)
 }
 
-// Admit takes one operation of a workspace from the host's part of its rate.
-// When there is none left, after is when to come back, and why tells the rate,
-// the host's part of it and what it is asked for, operations a second.
-func (r *Rates) Admit(workspace string) (ok bool, after time.Duration, why string) {
+// Grant takes one operation of a workspace whose home this host is.
+func (r *Rates) Grant(workspace string) (ok bool, after time.Duration, why string) {
 	s := r.shard(workspace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,51 +116,32 @@
 		return false, window, "its rate is not known yet"
 	}
 	now := time.Now()
-	w.asked++
-	w.average(now)
-	ok, after = w.bucket.Take(now)
+	w.counted.add(now)
+	rate, burst := r.budget(w.policy, w.counted.exceeded(now, w.counted.demand > w.policy.Rate) >= r.Window)
+	w.home.Set(now, rate*w.heard, max(1, burst*w.heard))
+	ok, after = w.home.Take(now)
 	if !ok {
-		why = fmt.Sprintf("rate %.1f, part %.2f, demand here %.1f, demand elsewhere %.1f", w.declared, w.part, w.demand, w.elsewhere)
+		why = fmt.Sprintf("rate %.1f, asked for %.1f at its home", w.policy.Rate, w.counted.demand)
 	}
 	return ok, after, why
 }
 
-// average folds the operations asked for since the last call into the demand.
-func (w *usage) average(now time.Time) {
-	passed := now.Sub(w.since)
-	if passed < min(window/8, max(leastLook, now.Sub(w.first)/4)) {
-		return
-	}
-	rate := w.asked / passed.Seconds()
-	known := now.Sub(w.first)
-	w.slow += (rate - w.slow) * min(1, passed.Seconds()/min(window, known).Seconds())
-	w.fast += (rate - w.fast) * min(1, passed.Seconds()/min(riseWindow, known).Seconds())
-	w.demand = max(w.slow, w.fast)
-	w.asked = 0
-	w.since = now
-	if known < window {
-		// Soon after a start nobody knows the demands yet; what is known late
-		// would be nothing.
-		w.pending, w.settled = w.demand, w.pending
-	}
-	if now.Sub(w.changed) >= settleDelay {
-		w.settled = w.pending
-		w.pending = w.demand
-		w.changed = now
-	}
-}
-
-// exceeded returns for how long the workspace has been asked for more than its
-// rate.
-func (w *usage) exceeded(now time.Time, over bool) time.Duration {
-	if !over {
-		w.over = time.Time{}
-		return 0
+// admit takes one operation from the host's part of the rate.
+func (r *Rates) admit(workspace string) (ok bool, after time.Duration, why string) {
+	s := r.shard(workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, known := s.spaces[workspace]
+	if !known {
+		return false, window, "its rate is not known yet"
 	}
-	if w.over.IsZero() {
-		w.over = now
+	now := time.Now()
+	w.here.add(now)
+	ok, after = w.bucket.Take(now)
+	if !ok {
+		why = fmt.Sprintf("rate %.1f, part %.2f, demand here %.1f, demand elsewhere %.1f", w.policy.Rate, w.part, w.here.demand, w.elsewhere)
 	}
-	return now.Sub(w.over)
+	return ok, after, why
 }
 
 // Demands returns what this host is asked for, a byte for each workspace of
@@ -163,8 +154,8 @@
 		s := r.shard(name)
 		s.mu.Lock()
 		if w, ok := s.spaces[name]; ok {
-			w.average(now)
-			demands[i] = share.Pack(w.demand)
+			w.here.average(now)
+			demands[i] = share.Pack(w.here.demand)
 		}
 		s.mu.Unlock()
 	}
@@ -182,8 +173,10 @@
 
 // Divide takes the configuration and what the other live hosts are asked for.
 // A host that told nothing for this configuration is left its even part. size
-// is how many hosts there are at least.
-func (r *Rates) Divide(p *policy.Policy, others [][]byte, size int) {
+// is how many hosts there are at least, and alive how many of them are heard
+// now: a home that is cut off from some hosts leaves their part of the rate to
+// them.
+func (r *Rates) Divide(p *policy.Policy, others [][]byte, size, alive int) {
 	names := r.adopt(p)
 	now := time.Now()
 	for i, name := range names {
@@ -199,20 +192,20 @@
 		s.mu.Lock()
 		w, ok := s.spaces[name]
 		if !ok {
-			w = &usage{
-				first: now,
-				since: now,
-			}
+			w = &usage{}
+			w.here.start(now)
+			w.counted.start(now)
 			s.add(name, w)
 		}
-		w.average(now)
-		own := share.Unpack(share.Pack(w.settled))
+		w.here.average(now)
+		own := share.Unpack(share.Pack(w.here.settled))
 		hosts := max(len(others)+1, size)
-		rate, burst := r.budget(declared, w.exceeded(now, all+own > declared.Rate) >= r.Window)
+		rate, burst := r.budget(declared, w.here.exceeded(now, all+own > declared.Rate) >= r.Window)
 		// The even parts of hosts whose demands are not known stay theirs.
 		heard := rate * float64(known) / float64(hosts)
 		part := share.Part(heard, own, all+own, known)
-		w.declared = declared.Rate
+		w.policy = declared
+		w.heard = min(1, float64(alive)/float64(hosts))
 		w.part = part
 		w.elsewhere = all
 		w.bucket.Set(now, part, max(leastBurst, burst/float64(hosts)))
--- a/internal/services/rates/rates_test.go
+++ b/internal/services/rates/rates_test.go
@@ -1,6 +1,7 @@
 package rates_test
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -72,7 +73,7 @@
 				others = append(others, f.told[late][j])
 			}
 		}
-		h.Divide(f.policy, others, len(f.hosts))
+		h.Divide(f.policy, others, len(f.hosts), len(f.hosts))
 	}
 }
 
@@ -102,7 +103,7 @@
 			if random.Float64() > skew {
 				host = random.IntN(len(f.hosts))
 			}
-			if ok, _, _ := f.hosts[host].Admit("w"); ok {
+			if ok, _, _ := f.hosts[host].Admit(context.Background(), "w"); ok {
 				admitted = append(admitted, time.Since(start))
 			} else if random.Float64() < 0.66 {
 				again[n+10+random.IntN(30)]++
--- a/internal/services/talk/talk.go
+++ b/internal/services/talk/talk.go
@@ -34,7 +34,7 @@
 
 // admitter keeps workspaces within their rates.
 type admitter interface {
-	Admit(workspace string) (ok bool, after time.Duration, why string)
+	Admit(ctx context.Context, workspace string) (ok bool, after time.Duration, why string)
 }
 
 // meter counts what callers got.
@@ -207,7 +207,7 @@
 	if s.tx != nil {
 		return s.inside(ctx, q, writes)
 	}
-	g, refusal := s.admit()
+	g, refusal := s.admit(ctx)
 	if refusal != nil {
 		return *refusal
 	}
@@ -219,7 +219,7 @@
 
 // admit checks the configuration and takes one operation from the workspace's
 // rate.
-func (s *Session) admit() (grant, *reply.Reply) {
+func (s *Session) admit(ctx context.Context) (grant, *reply.Reply) {
 	g, refusal := s.grant()
 	if refusal != nil {
 		return g, refusal
@@ -227,7 +227,7 @@
 	if g.workspace == "" {
 		return g, nil // open lanes have no workspace whose rate could count
 	}
-	if ok, after, why := s.Rates.Admit(g.workspace); !ok {
+	if ok, after, why := s.Rates.Admit(ctx, g.workspace); !ok {
 		return g, s.refusal(reply.Busy, "over-rate", "the workspace is over its rate: "+why, after)
 	}
 	return g, nil
--- a/internal/services/talk/tx.go
+++ b/internal/services/talk/tx.go
@@ -51,7 +51,7 @@
 	if s.tx != nil {
 		return *s.refusal(reply.Malformed, "in-transaction", "a transaction is open already", 0)
 	}
-	g, refusal := s.admit()
+	g, refusal := s.admit(ctx)
 	if refusal != nil {
 		return *refusal
 	}
