--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -217,7 +217,7 @@
 		return dbview.New(service, self.DataCentre, mirror.Fleet, h.mirror, registry)
 	})
 	h.rates = &rates.Rates{
-		Homes: h,
+		Homes:     h,
 		Window:    h.Settings.RateWindow,
 		Overage:   h.Settings.RateOverage,
 		Tolerance: h.Settings.RateTolerance,
--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -27,9 +27,13 @@
 )
 
 const (
-	// interval is the time between two exchanges of a small fleet; each host
-	// added past smallFleet adds to it, so that a host's traffic stays level.
-	interval   = 200 * time.Millisecond
+	// interval is the time between two exchanges of a host in a small fleet, or
+	// of one that passes on what it learns in a large one; leafInterval that of
+	// all others there. With the readers' 0.4 s a copy of the fleet's table is
+	// a second old at most.
+	interval     = 200 * time.Millisecond
+	leafInterval = 350 * time.Millisecond
+	// smallFleet is the number of hosts from which on gossip goes by hubs.
 	smallFleet = 16
 	// exchangeTimeout bounds one exchange, which takes a round trip.
 	exchangeTimeout = 600 * time.Millisecond
@@ -38,10 +42,8 @@
 	aliveFor = 2500 * time.Millisecond
 	// forgetAfter is how long a host that fell silent is remembered.
 	forgetAfter = 30 * time.Second
-	// nearPart is the part of the exchanges that stay in the data centre.
-	nearPart = 0.6
 	// urgentPeers is how many hosts are told of a change at once.
-	urgentPeers = 3
+	urgentPeers = 4
 	// urgentPause is the least time between two such rounds.
 	urgentPause = 60 * time.Millisecond
 	// unreachableAfter is how long a host fails to reach a primary before it
@@ -131,9 +133,10 @@
 }
 
 func (g *Gossip) pause() time.Duration {
-	n := len(g.Alive()) + 1
-	d := interval * time.Duration(max(n, smallFleet)) / smallFleet
-	d = min(d, 2*interval)
+	d := interval
+	if known := g.known(); len(known) >= smallFleet && !g.passes(known) {
+		d = leafInterval
+	}
 	return d/2 + rand.N(d)
 }
 
@@ -163,7 +166,7 @@
 }
 
 func (g *Gossip) tell(ctx context.Context) {
-	list := g.Alive()
+	list := g.urgentOf(g.Alive())
 	rand.Shuffle(len(list), func(i, j int) {
 		list[i], list[j] = list[j], list[i]
 	})
@@ -176,68 +179,6 @@
 	calls.Wait()
 }
 
-// partner picks a host to exchange with.
-func (g *Gossip) partner() (host.Host, bool) {
-	known := g.known()
-	now := uptime.Now()
-	var near, all []host.Host
-	g.mu.Lock()
-	for _, h := range known {
-		if p := g.hosts[h.Name]; p != nil && p.avoid > now {
-			continue
-		}
-		all = append(all, h)
-		if h.DataCentre == g.self.DataCentre {
-			near = append(near, h)
-		}
-	}
-	g.mu.Unlock()
-	if len(all) == 0 {
-		all = known
-	}
-	if len(all) == 0 {
-		return g.seed()
-	}
-	if len(near) > 0 && rand.Float64() < nearPart {
-		return near[rand.IntN(len(near))], true
-	}
-	return all[rand.IntN(len(all))], true
-}
-
-func (g *Gossip) seed() (host.Host, bool) {
-	var others []string
-	for _, s := range g.seeds {
-		if s != g.self.Address {
-			others = append(others, s)
-		}
-	}
-	if len(others) == 0 {
-		return host.Host{}, false
-	}
-	return host.Host{
-		Address: others[rand.IntN(len(others))],
-	}, true
-}
-
-// known returns the other hosts that registered or said something.
-func (g *Gossip) known() []host.Host {
-	found := map[string]host.Host{}
-	for name, h := range g.mirror.Registered() {
-		found[name] = h
-	}
-	g.mu.Lock()
-	for name, p := range g.hosts {
-		found[name] = hostOf(p.report)
-	}
-	g.mu.Unlock()
-	delete(found, g.self.Name)
-	list := make([]host.Host, 0, len(found))
-	for _, h := range found {
-		list = append(list, h)
-	}
-	return list
-}
-
 func hostOf(r *wasabislipv1.HostReport) host.Host {
 	return host.Host{
 		Name:        r.GetName(),
@@ -256,7 +197,7 @@
 	c := wasabislipv1connect.NewGossipServiceClient(g.client, "http://"+h.Address)
 	r, err := c.Spread(ctx, connect.NewRequest(&wasabislipv1.SpreadRequest{
 		From:      g.self.Name,
-		Knowledge: g.knowledge(nil),
+		Knowledge: g.knowledge(nil, g.told()),
 	}))
 	if err != nil {
 		g.avoid(h.Name)
@@ -284,7 +225,7 @@
 		g.fetch(r.Msg.GetFrom())
 	}
 	return connect.NewResponse(&wasabislipv1.SpreadResponse{
-		Knowledge: g.knowledge(k.GetTables()),
+		Knowledge: g.knowledge(k.GetTables(), g.reports()),
 	}), nil
 }
 
@@ -320,10 +261,10 @@
 
 // knowledge tells what this host knows; theirs are the copies that the other
 // host has, so that newer ones are sent whole.
-func (g *Gossip) knowledge(theirs []*wasabislipv1.Table) *wasabislipv1.Knowledge {
+func (g *Gossip) knowledge(theirs []*wasabislipv1.Table, hosts []*wasabislipv1.HostReport) *wasabislipv1.Knowledge {
 	k := &wasabislipv1.Knowledge{
 		Services: g.groups.Reports(),
-		Hosts:    g.reports(),
+		Hosts:    hosts,
 	}
 	for _, name := range []string{mirror.Operators, mirror.Servers, mirror.Fleet} {
 		k.Tables = append(k.Tables, g.copyOf(name, theirs))
@@ -380,9 +321,17 @@
 	}
 }
 
-// reports returns what the live hosts told of themselves, this one included.
-func (g *Gossip) reports() []*wasabislipv1.HostReport {
-	now := uptime.Now()
+// told returns what this host sends unasked: all that it knows of the hosts in
+// a small fleet, and itself in a large one, where answers bring the others.
+func (g *Gossip) told() []*wasabislipv1.HostReport {
+	if len(g.Alive()) < smallFleet {
+		return g.reports()
+	}
+	return g.own()
+}
+
+// own returns what this host tells of itself.
+func (g *Gossip) own() []*wasabislipv1.HostReport {
 	d, version := g.demands.Demands()
 	unreachable := g.groups.Unreachable(unreachableAfter)
 	unfinished := g.groups.Unfinished()
@@ -404,6 +353,15 @@
 		Demands:        d,
 		DemandsVersion: version,
 	}}
+	return list
+}
+
+// reports returns what the live hosts told of themselves, this one included.
+func (g *Gossip) reports() []*wasabislipv1.HostReport {
+	now := uptime.Now()
+	list := g.own()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, p := range g.hosts {
 		if now-p.heard > aliveFor {
 			continue
--- a/internal/services/mirror/follow.go
+++ b/internal/services/mirror/follow.go
@@ -43,13 +43,13 @@
 var paces = map[string]pace{
 	// Changes are needed within the bound for configurations, 3 s and more.
 	Operators: {
-		wait:  time.Second,
+		wait:  600 * time.Millisecond,
 		stale: 2200 * time.Millisecond,
 	},
 	// Each call renews the leases of primaries.
 	Fleet: {
 		wait:  400 * time.Millisecond,
-		stale: 1100 * time.Millisecond,
+		stale: 1300 * time.Millisecond,
 	},
 	// Instances write every second or so; a feed would answer at once.
 	Servers: {
@@ -148,6 +148,10 @@
 	}
 	rows, newest, err := m.source.Follow(ctx, m.names[name], version, p.wait)
 	if err == nil {
+		if len(rows) == 0 && uptime.Now()-asOf >= p.wait {
+			// The store had the call for that long before it found nothing.
+			asOf += p.wait
+		}
 		m.Patch(name, rows, version, newest, asOf)
 		return nil
 	}
