--- a/internal/services/mirror/follow.go
+++ b/internal/services/mirror/follow.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// readers is how many hosts read each table; the others get copies from
-	// them. Two, so that one that stops is not missed.
-	readers = 2
+	// readersDuty ranks the hosts that read the tables for all, and readers is
+	// how many do; the others get copies from them. Two, so that one that
+	// stops is not missed. Gossip knows them by the same duty.
+	readersDuty = "readers"
+	readers     = 2
 	// callTimeout bounds one read of the store, which usually answers in
 	// milliseconds and may be 60 times slower for a while.
 	callTimeout = 1500 * time.Millisecond
@@ -110,7 +112,7 @@
 	p := paces[name]
 	retry := retryLeast
 	for ctx.Err() == nil {
-		reader := m.ranker.Rank(name) < readers
+		reader := m.ranker.Rank(readersDuty) < readers
 		if !reader && m.Age(name) < p.stale {
 			pause(ctx, checkEvery)
 			continue
