Log outcomes by name, with what decided them

Cause: a log line told numbers, and not which instance, position and lease decided (the letter: inputs, their age or version).

--- a/internal/models/query/query.go
+++ b/internal/models/query/query.go
@@ -28,6 +28,25 @@
 	Reset
 )
 
+var words = map[int]string{
+	Unknown:    "unknown",
+	Begin:      "begin",
+	Commit:     "commit",
+	Rollback:   "rollback",
+	Read:       "read",
+	Write:      "write",
+	Set:        "set",
+	Prepare:    "prepare",
+	Execute:    "execute",
+	Deallocate: "deallocate",
+	Reset:      "reset",
+}
+
+// Word returns a kind's name in logs.
+func Word(kind int) string {
+	return words[kind]
+}
+
 // Query is one statement.
 type Query struct {
 	// ID is the caller's id of the statement; "-" on the proxy's own.
--- a/internal/models/reply/reply.go
+++ b/internal/models/reply/reply.go
@@ -68,6 +68,28 @@
 	Position logpos.Position
 }
 
+var words = map[int]string{
+	Done:               "done",
+	Busy:               "busy",
+	Aborted:            "aborted",
+	Lagging:            "lagging",
+	NotPrimary:         "not-primary",
+	WrongServer:        "wrong-server",
+	TooManyConnections: "too-many-connections",
+	UnknownName:        "unknown-name",
+	Failed:             "failed",
+	TimedOut:           "timed-out",
+	InDoubt:            "in-doubt",
+	KeyRefused:         "key-refused",
+	NoDatabase:         "no-database",
+	Malformed:          "malformed",
+}
+
+// Word returns an outcome's name in logs and metrics.
+func Word(outcome int) string {
+	return words[outcome]
+}
+
 // NotRun reports whether the outcome promises that the statement did not run
 // at the instance that answered.
 func (r *Reply) NotRun() bool {
--- a/internal/modules/counts/counts.go
+++ b/internal/modules/counts/counts.go
@@ -18,23 +18,6 @@
 // operators declare, 0.1 to 0.5 s, and up to the longest timeouts.
 var latencies = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2, 5}
 
-var outcomes = map[int]string{
-	reply.Done:               "done",
-	reply.Busy:               "busy",
-	reply.Aborted:            "aborted",
-	reply.Lagging:            "lagging",
-	reply.NotPrimary:         "not-primary",
-	reply.WrongServer:        "wrong-server",
-	reply.TooManyConnections: "too-many-connections",
-	reply.UnknownName:        "unknown-name",
-	reply.Failed:             "failed",
-	reply.TimedOut:           "timed-out",
-	reply.InDoubt:            "in-doubt",
-	reply.KeyRefused:         "key-refused",
-	reply.NoDatabase:         "no-database",
-	reply.Malformed:          "malformed",
-}
-
 // Counts are the metrics. Labels are outcomes and reasons, never workspaces or
 // databases, whose number has no bound.
 type Counts struct {
@@ -85,7 +68,7 @@
 
 // Answer counts an answer to a statement that took took.
 func (c *Counts) Answer(outcome int, took time.Duration) {
-	c.answers.WithLabelValues(outcomes[outcome]).Inc()
+	c.answers.WithLabelValues(reply.Word(outcome)).Inc()
 	c.seconds.Observe(took.Seconds())
 }
 
--- a/internal/services/dbview/dbview.go
+++ b/internal/services/dbview/dbview.go
@@ -195,6 +195,13 @@
 	return asOf >= registered && uptime.Now()-asOf < Lease
 }
 
+// LeaseAge returns how old the moment is from which the primary's lease counts.
+func (v *View) LeaseAge() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return uptime.Now() - max(v.tables.AsOf(v.fleet), v.proven)
+}
+
 // Handover reports whether id is being replaced as planned: what it still
 // acknowledges is kept, since it stops before its successor starts.
 func (v *View) Handover(id string) bool {
--- a/internal/services/talk/single.go
+++ b/internal/services/talk/single.go
@@ -72,6 +72,11 @@
 		return *refusal
 	}
 	a := s.try(v, to, g, g.queueWait(), deadline)
+	s.last = decision{
+		instance: to.ID,
+		tries:    1,
+		leaseAge: v.LeaseAge(),
+	}
 	r, err := a.single(ctx, q, s.values, s.prepared[q.Name].Value, logpos.Position{})
 	if err != nil {
 		return s.writeFailure(err)
@@ -255,6 +260,12 @@
 // offer sends the read to one instance, beside the others that have it.
 func (x *reading) offer(ctx context.Context, to server.Server, floor logpos.Position, wait time.Duration) {
 	x.tries++
+	x.session.last = decision{
+		instance: to.ID,
+		floor:    floor,
+		tries:    x.tries,
+		leaseAge: x.view.LeaseAge(),
+	}
 	x.tried[to.ID] = true
 	x.running++
 	a := x.session.try(x.view, to, x.grant, wait, x.deadline)
--- a/internal/services/talk/talk.go
+++ b/internal/services/talk/talk.go
@@ -67,10 +67,24 @@
 	prepared map[string]query.Query
 	own      logpos.Position
 	tx       *transaction
+	// last is what decided the last statement, for the log.
+	last decision
 	// leave tells that another host can serve the caller better.
 	leave bool
 }
 
+// decision is what decided a statement.
+type decision struct {
+	// instance is where it was sent last; empty when nowhere.
+	instance string
+	// floor is the position that the instance's log had to hold.
+	floor logpos.Position
+	// tries is how many instances it was offered to.
+	tries int
+	// leaseAge is how old the lease of the primary was.
+	leaseAge time.Duration
+}
+
 // grant is what the configuration allows a caller now.
 type grant struct {
 	lane      lane.Lane
@@ -110,6 +124,7 @@
 // Handle runs one statement and returns its answer.
 func (s *Session) Handle(ctx context.Context, q query.Query) reply.Reply {
 	started := time.Now()
+	s.last = decision{}
 	r := s.handle(ctx, q)
 	r.State = s.state()
 	if r.Outcome == reply.Done {
@@ -317,12 +332,16 @@
 func (s *Session) fields(q query.Query, r reply.Reply, more ...any) []any {
 	fields := []any{
 		"request", q.ID,
-		"kind", q.Kind,
+		"kind", query.Word(q.Kind),
 		"database", s.Database,
-		"outcome", r.Outcome,
+		"outcome", reply.Word(r.Outcome),
 		"message", r.Message,
 		"retry-after", r.RetryAfter.String(),
 		"session-position", s.own.String(),
+		"instance", s.last.instance,
+		"floor", s.last.floor.String(),
+		"tries", s.last.tries,
+		"lease-age", s.last.leaseAge.String(),
 	}
 	if p := s.Directory.Policy(); p != nil {
 		fields = append(fields, "workspace", p.Owners[s.Key], "version", p.Version)
--- a/internal/services/talk/tx.go
+++ b/internal/services/talk/tx.go
@@ -205,6 +205,11 @@
 func (s *Session) pass(ctx context.Context, q query.Query, deadline time.Time) (reply.Reply, error) {
 	a := s.tx.attempt
 	a.deadline = deadline
+	s.last = decision{
+		instance: a.server.ID,
+		tries:    1,
+		leaseAge: a.view.LeaseAge(),
+	}
 	return a.do(ctx, &errand.Errand{
 		Kind:     errand.Inside,
 		Query:    q,
