--- a/cmd/wasabislip/check.go
+++ b/cmd/wasabislip/check.go
@@ -5,14 +5,25 @@
 	"fmt"
 
 	"github.com/urfave/cli/v3"
+
+	"wasabislip.example/wasabislip/internal/modules/local"
 )
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
-		Usage:     "check a configuration file",
+		Usage:     "check a configuration file, or the settings of an edge host",
 		ArgsUsage: "FILE",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:  "edge",
+				Usage: "the settings file of an edge host to check instead",
+			},
+		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
+			if name := cmd.String("edge"); name != "" {
+				return checkEdge(cmd, name)
+			}
 			_, s, err := readSpec(cmd)
 			if err != nil {
 				return err
@@ -26,3 +37,12 @@
 		},
 	}
 }
+
+func checkEdge(cmd *cli.Command, name string) error {
+	s, err := local.Load(name)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "good: host %s in %s\n", s.Host, s.DataCentre)
+	return err
+}
--- a/internal/routers/edge/caller.go
+++ b/internal/routers/edge/caller.go
@@ -97,7 +97,9 @@
 
 func (x *caller) serve(ctx context.Context) {
 	defer x.host.remove(x)
-	defer x.wire.Close()
+	defer func() {
+		_ = x.wire.Close() // the session is over either way
+	}()
 	if !x.hello() {
 		return
 	}
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -5,11 +5,9 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
-	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/window"
 	"wasabislip.example/wasabislip/internal/services/link"
@@ -46,9 +44,6 @@
 	// fullPause is the pause before another try after the instance refused a
 	// connection: about the time that one statement holds one.
 	fullPause = 15 * time.Millisecond
-	// dialTimeout bounds a connect, which takes a round trip and some ten
-	// milliseconds of a slot.
-	dialTimeout = 600 * time.Millisecond
 )
 
 // dialer opens connections to instances.
@@ -316,58 +311,6 @@
 	return <-w.grant, nil // it was granted meanwhile
 }
 
-func (p *Pool) connect(ctx context.Context, workspace string) (*pconn.Conn, error) {
-	l, err := p.dial(ctx, workspace)
-	if err == nil {
-		p.mu.Lock()
-		p.opened++
-		p.mu.Unlock()
-		return &pconn.Conn{
-			Workspace: workspace,
-			Instance:  p.server.ID,
-			Link:      l,
-		}, nil
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.leave(workspace, true)
-	p.open--
-	if fault.IsKind(err, fault.Overloaded) {
-		p.full = time.Now().Add(fullFor)
-		p.fullAt = p.open
-	}
-	p.serve()
-	return nil, err
-}
-
-func (p *Pool) dial(ctx context.Context, workspace string) (link.Link, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	l, err := p.dialer.Dial(ctx, p.server.Address)
-	if err != nil {
-		return nil, unreachable(p.server.ID, err)
-	}
-	deadline, _ := ctx.Deadline()
-	_ = l.SetReadDeadline(deadline) // a failure shows at the read
-	_ = l.SetWriteDeadline(deadline)
-	r, err := l.Hello(p.server.Service, workspace, p.server.ID)
-	switch {
-	case err != nil:
-		err = unreachable(p.server.ID, err)
-	case r.Outcome == reply.TooManyConnections:
-		err = busy(p.server.ID)
-	case r.Outcome == reply.WrongServer:
-		err = gone(p.server.ID)
-	case r.Outcome != reply.Done:
-		err = unreachable(p.server.ID, fmt.Errorf("the instance refused the session: %s", r.Message))
-	}
-	if err != nil {
-		_ = l.Close()
-		return nil, err
-	}
-	return l, nil
-}
-
 // Put gives back a connection that can be used again.
 func (p *Pool) Put(c *pconn.Conn) {
 	p.mu.Lock()
@@ -484,27 +427,3 @@
 	defer p.mu.Unlock()
 	return p.open, p.opened, p.refused
 }
-
-func busy(id string) error {
-	return fault.New(
-		fault.Overloaded,
-		"no connection to instance "+id+" is free",
-		"retry later",
-	)
-}
-
-func gone(id string) error {
-	return fault.New(
-		fault.NotRun,
-		"instance "+id+" is gone from its address",
-		"retry; another instance may serve",
-	)
-}
-
-func unreachable(id string, err error) error {
-	return fault.New(
-		fault.NotRun,
-		"instance "+id+" can't be reached",
-		"retry; another instance may serve",
-	).Wrap(err)
-}
--- /dev/null
+++ b/internal/services/conns/dial.go
@@ -0,0 +1,92 @@
+package conns
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/services/link"
+	"wasabislip.example/wasabislip/internal/services/pconn"
+	"wasabislip.example/wasabislip/pkg/model/fault"
+)
+
+// dialTimeout bounds a connect, which takes a round trip and some ten
+// milliseconds of a slot.
+const dialTimeout = 600 * time.Millisecond
+
+func (p *Pool) connect(ctx context.Context, workspace string) (*pconn.Conn, error) {
+	l, err := p.dial(ctx, workspace)
+	if err == nil {
+		p.mu.Lock()
+		p.opened++
+		p.mu.Unlock()
+		return &pconn.Conn{
+			Workspace: workspace,
+			Instance:  p.server.ID,
+			Link:      l,
+		}, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leave(workspace, true)
+	p.open--
+	if fault.IsKind(err, fault.Overloaded) {
+		p.full = time.Now().Add(fullFor)
+		p.fullAt = p.open
+	}
+	p.serve()
+	return nil, err
+}
+
+func (p *Pool) dial(ctx context.Context, workspace string) (link.Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	l, err := p.dialer.Dial(ctx, p.server.Address)
+	if err != nil {
+		return nil, unreachable(p.server.ID, err)
+	}
+	deadline, _ := ctx.Deadline()
+	_ = l.SetReadDeadline(deadline) // a failure shows at the read
+	_ = l.SetWriteDeadline(deadline)
+	r, err := l.Hello(p.server.Service, workspace, p.server.ID)
+	switch {
+	case err != nil:
+		err = unreachable(p.server.ID, err)
+	case r.Outcome == reply.TooManyConnections:
+		err = busy(p.server.ID)
+	case r.Outcome == reply.WrongServer:
+		err = gone(p.server.ID)
+	case r.Outcome != reply.Done:
+		err = unreachable(p.server.ID, fmt.Errorf("the instance refused the session: %s", r.Message))
+	}
+	if err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func busy(id string) error {
+	return fault.New(
+		fault.Overloaded,
+		"no connection to instance "+id+" is free",
+		"retry later",
+	)
+}
+
+func gone(id string) error {
+	return fault.New(
+		fault.NotRun,
+		"instance "+id+" is gone from its address",
+		"retry; another instance may serve",
+	)
+}
+
+func unreachable(id string, err error) error {
+	return fault.New(
+		fault.NotRun,
+		"instance "+id+" can't be reached",
+		"retry; another instance may serve",
+	).Wrap(err)
+}
--- a/internal/services/rates/rates_test.go
+++ b/internal/services/rates/rates_test.go
@@ -20,6 +20,8 @@
 	tolerance = 20
 	// gossipDelay is how long a host's demand takes to the others.
 	gossipDelay = 600 * time.Millisecond
+	// hosts is how many hosts play.
+	hosts = 9
 	// step is the time between two arrivals of the play.
 	step = 5 * time.Millisecond
 )
@@ -31,7 +33,7 @@
 	told   [][][]byte // by round, by host
 }
 
-func newFleet(n int, rate, burst float64) *fleet {
+func newFleet(rate, burst float64) *fleet {
 	f := &fleet{
 		policy: &policy.Policy{
 			Version: 1,
@@ -44,7 +46,7 @@
 			},
 		},
 	}
-	for range n {
+	for range hosts {
 		f.hosts = append(f.hosts, &rates.Rates{
 			Window:    counted,
 			Overage:   overage,
@@ -149,7 +151,7 @@
 			t.Run(name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
-					f := newFleet(9, 200, 200)
+					f := newFleet(200, 200)
 					admitted, _ := f.play(30*time.Second, l, skew)
 					allowed := (200*counted.Seconds()+200)*(1+overage) + tolerance
 					t.Logf("at most %d in a window, allowed %.0f", most(admitted), allowed)
@@ -161,7 +163,7 @@
 	t.Run("below the rate next to nothing is refused", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			f := newFleet(9, 40, 40)
+			f := newFleet(40, 40)
 			admitted, asked := f.play(30*time.Second, func(at time.Duration) float64 {
 				if at < 2*time.Second {
 					return 0 // hosts start before callers come
@@ -175,7 +177,7 @@
 	t.Run("right after a start of all hosts most is admitted", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			f := newFleet(9, 40, 40)
+			f := newFleet(40, 40)
 			admitted, asked := f.play(3*time.Second, func(time.Duration) float64 { return 25 }, 0.3)
 			is.True(len(admitted)*100 >= asked*90)
 		})
@@ -183,7 +185,7 @@
 	t.Run("above the rate a workspace gets what the window allows", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			f := newFleet(9, 25, 25)
+			f := newFleet(25, 25)
 			admitted, _ := f.play(30*time.Second, func(time.Duration) float64 { return 40 }, 0.3)
 			is.True(len(admitted) >= 30*25)
 		})
--- a/internal/standin/town/town.go
+++ b/internal/standin/town/town.go
@@ -186,7 +186,7 @@
 				"zone":     dc,
 				"capacity": 3,
 				"state":    state,
-				"db_role":  map[bool]string{true: "primary", false: "replica"}[t.Group.IsPrimary(id)],
+				"db_role":  role(t.Group.IsPrimary(id)),
 				"sequence": n,
 				"born":     1_700_000_000_000,
 			})
@@ -199,6 +199,13 @@
 	}
 }
 
+func role(primary bool) string {
+	if primary {
+		return "primary"
+	}
+	return "replica"
+}
+
 // Drain makes an instance say that it is about to leave.
 func (t *Town) Drain(id string) {
 	t.mu.Lock()
