Add a fault soak of real processes

Change: internal/soak and cmd/soak: hosts as processes, faults by signals, a loopback relay and the stand-ins, promises checked from what callers and instances see; a short seeded run among the tests.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,89 @@
+// Command soak plays seeds of the fault soak; see docs/SOAK.md.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"wasabislip.example/wasabislip/internal/soak"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run hosts as processes, inject faults and check what callers see",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:  "binary",
+				Value: "bin/wasabislip",
+				Usage: "the product's program",
+			},
+			&cli.IntFlag{
+				Name:  "hosts",
+				Value: 6,
+				Usage: "processes",
+			},
+			&cli.IntFlag{
+				Name:  "callers",
+				Value: 4,
+				Usage: "sessions a process",
+			},
+			&cli.DurationFlag{
+				Name:  "for",
+				Value: 15 * time.Second,
+				Usage: "how long faults are injected",
+			},
+			&cli.Uint64Flag{
+				Name:  "seed",
+				Value: 1,
+				Usage: "the first seed",
+			},
+			&cli.IntFlag{
+				Name:  "seeds",
+				Value: 1,
+				Usage: "how many seeds, one after the other",
+			},
+		},
+		Action: run,
+	}
+}
+
+// run plays the seeds and reports all that failed.
+func run(ctx context.Context, cmd *cli.Command) error {
+	var failed []error
+	for i := range cmd.Int("seeds") {
+		dir, err := os.MkdirTemp("", "soak-")
+		if err != nil {
+			return err
+		}
+		s := &soak.Soak{
+			Binary:  cmd.String("binary"),
+			Hosts:   cmd.Int("hosts"),
+			Callers: cmd.Int("callers"),
+			For:     cmd.Duration("for"),
+			Seed:    cmd.Uint64("seed") + uint64(i),
+			Dir:     dir,
+			Out:     os.Stdout,
+		}
+		if err := s.Run(ctx); err != nil {
+			failed = append(failed, err)
+		}
+	}
+	return errors.Join(failed...)
+}
--- a/internal/standin/mimic/mimic.go
+++ b/internal/standin/mimic/mimic.go
@@ -255,3 +255,46 @@
 	defer g.mu.Unlock()
 	return append([]run(nil), g.runs...)
 }
+
+// Truth returns the newest value of an item in the log of the newest term's
+// primary, "-" without one, and that term.
+func (g *Group) Truth(item string) (value string, term uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	value = "-"
+	for _, c := range g.leading().log {
+		if c.item == item {
+			value = c.data
+		}
+	}
+	return value, g.leading().term
+}
+
+// Committed counts how often each value stands in the log of the newest term's
+// primary, as item=data.
+func (g *Group) Committed() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counts := map[string]int{}
+	for _, c := range g.leading().log {
+		counts[c.item+"="+c.data]++
+	}
+	return counts
+}
+
+func (g *Group) leading() *instance {
+	var best *instance
+	for _, n := range g.instances {
+		if n.primary && (best == nil || n.term > best.term) {
+			best = n
+		}
+	}
+	if best == nil {
+		for _, n := range g.instances {
+			if best == nil || len(n.log) > len(best.log) {
+				best = n // between a primary that stepped down and its successor
+			}
+		}
+	}
+	return best
+}
