Ask a lagging replica once a read; tell full instances apart from silent ones

Change: a replica that lacked the position is not asked again by the same read; the reason is no-instance.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -54,6 +54,10 @@
 				Value: 1,
 				Usage: "the first seed",
 			},
+			&cli.BoolFlag{
+				Name:  "keep",
+				Usage: "keep the settings and logs of every seed",
+			},
 			&cli.IntFlag{
 				Name:  "seeds",
 				Value: 1,
@@ -79,6 +83,7 @@
 			For:     cmd.Duration("for"),
 			Seed:    cmd.Uint64("seed") + uint64(i),
 			Dir:     dir,
+			Keep:    cmd.Bool("keep"),
 			Out:     os.Stdout,
 		}
 		if err := s.Run(ctx); err != nil {
--- a/internal/services/talk/single.go
+++ b/internal/services/talk/single.go
@@ -28,8 +28,9 @@
 	// hedgeAfter is how long a read stays unanswered before another instance
 	// is asked beside the first: some times the usual work of a read.
 	hedgeAfter = 150 * time.Millisecond
-	// maxTries bounds the instances that one statement is offered to.
-	maxTries = 4
+	// maxTries bounds how often one statement is offered: to each of three
+	// instances at once, and again to wait for a connection.
+	maxTries = 6
 	// busyAfter is when callers are told to come back to a busy instance: a
 	// few statements later.
 	busyAfter = 50 * time.Millisecond
@@ -130,6 +131,7 @@
 		arrived:  uptime.Now(),
 		deadline: time.Now().Add(g.lane.Timeout),
 		tried:    map[string]bool{},
+		lagged:   map[string]bool{},
 		answers:  make(chan answer, 2*maxTries),
 	}
 	return x.run(ctx)
@@ -145,8 +147,10 @@
 	prepared string
 	arrived  time.Duration
 	deadline time.Time
-	// tried are the instances that were offered the read.
-	tried map[string]bool
+	// tried are the instances that were offered the read, and lagged those of
+	// them whose log lacked the position.
+	tried  map[string]bool
+	lagged map[string]bool
 	// full tells that some had no connection free; queued, that the read has
 	// waited for one.
 	full    bool
@@ -208,6 +212,7 @@
 	}
 	if a.reply.Outcome != reply.Done {
 		x.last = a.reply
+		x.lagged[a.server.ID] = a.reply.Outcome == reply.Lagging
 		return a.reply, !a.reply.NotRun() && a.reply.Outcome != reply.Failed
 	}
 	if x.fresh(a.server) {
@@ -234,9 +239,12 @@
 // next offers the read to another instance; a refusal says why there is none.
 // Only a patient read waits for a primary or a free connection.
 func (x *reading) next(ctx context.Context, patient bool) *reply.Reply {
-	if x.tries >= maxTries || time.Now().After(x.deadline) {
+	if time.Now().After(x.deadline) {
 		return x.session.refusal(reply.Aborted, "no-answer", "no instance answered the read in time", busyAfter)
 	}
+	if x.tries >= maxTries {
+		return x.session.refusal(reply.Busy, "no-instance", "no instance can run the read now", busyAfter)
+	}
 	to, floor, found := x.choose()
 	wait := time.Duration(0)
 	if !found && patient && x.grant.lane.Freshness != route.Primary && x.full && !x.queued {
@@ -290,7 +298,7 @@
 		return server.Server{}, logpos.Position{}, false
 	}
 	for _, s := range x.view.Readers(floor) {
-		if !x.tried[s.ID] {
+		if !x.tried[s.ID] && !x.lagged[s.ID] {
 			return s, x.needs(s, floor), true
 		}
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wasabislip.example/wasabislip/internal/standin/mimic"
@@ -79,9 +80,13 @@
 type caller struct {
 	net net.Conn
 	r   *bufio.Reader
+	id  int64
 	n   int
 }
 
+// sessions numbers the connections, so that no two statements share an id.
+var sessions atomic.Int64
+
 // answer is what a caller got.
 type answer struct {
 	id   string
@@ -98,6 +103,7 @@
 		return nil, err
 	}
 	x := &caller{
+		id:  sessions.Add(1),
 		net: c,
 		r:   bufio.NewReader(c),
 	}
@@ -114,7 +120,7 @@
 
 func (c *caller) do(text string) answer {
 	c.n++
-	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(c.net.LocalAddr().String(), ":", "-"), c.n)
+	id := fmt.Sprintf("c%d-%d", c.id, c.n)
 	_, _ = fmt.Fprintf(c.net, "QUERY %s %s\r\n", id, text) // a failure shows at the read
 	return c.read(id)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -46,6 +46,8 @@
 	Seed uint64
 	// Dir takes the hosts' settings and logs.
 	Dir string
+	// Keep leaves Dir in place also when no promise was broken.
+	Keep bool
 	// Out is told what happens.
 	Out io.Writer
 
@@ -283,6 +285,9 @@
 	if err := s.check.err(); err != nil {
 		return fmt.Errorf("seed %d: %w (settings and logs in %s)", s.Seed, err, s.Dir)
 	}
+	if s.Keep {
+		return nil
+	}
 	return os.RemoveAll(s.Dir)
 }
 
--- a/internal/standin/town/fault_test.go
+++ b/internal/standin/town/fault_test.go
@@ -44,14 +44,20 @@
 	refused int
 	done    int
 	unknown int
+	reads   int
+	unread  int
 	codes   map[string]int
 }
 
 func startLoad(w *town.Town, hosts int) *load {
+	return startSessions(w, hosts, 2*hosts)
+}
+
+func startSessions(w *town.Town, hosts, sessions int) *load {
 	l := &load{
 		codes: map[string]int{},
 	}
-	for i := range 2 * hosts {
+	for i := range sessions {
 		l.wg.Add(1)
 		go func() {
 			defer l.wg.Done()
@@ -110,12 +116,22 @@
 			if r.OK() {
 				l.check(r.Rows, acknowledged)
 			}
+			l.noteRead(r.OK())
 			time.Sleep(40 * time.Millisecond)
 		}
 		c.Close()
 	}
 }
 
+func (l *load) noteRead(ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	if !ok {
+		l.unread++
+	}
+}
+
 // check counts a read that is older than the session's own last write.
 func (l *load) check(rows []string, acknowledged int) {
 	n := 0
@@ -352,3 +368,18 @@
 		is.True(calls(12) <= 2*calls(3))
 	})
 }
+
+func TestLag(t *testing.T) {
+	t.Run("reads of own writes run on the primary while replicas lag", func(t *testing.T) {
+		play(t, 3, func(is *is.I, w *town.Town) {
+			w.Group.Lag = 3 * time.Second
+			w.Group.Work = 20 * time.Millisecond
+			l := startSessions(w, 3, 14)
+			time.Sleep(5 * time.Second)
+			l.end()
+			is.Equal(l.stale, 0)
+			t.Logf("%d of %d reads refused", l.unread, l.reads)
+			is.True(l.unread*50 < l.reads)
+		})
+	})
+}
