--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -16,14 +16,18 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
+	if err := play(); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
 	}
 }
 
+func play() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return command().Run(ctx, os.Args)
+}
+
 func command() *cli.Command {
 	return &cli.Command{
 		Name:  "soak",
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -9,10 +8,10 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"wasabislip.example/wasabislip/internal/standin/mimic"
+	"wasabislip.example/wasabislip/internal/standin/patron"
 )
 
 const (
@@ -39,8 +38,8 @@
 		}
 		acknowledged := 0
 		zone := strconv.Itoa(n)
-		if a := c.do("SET zone " + zone); a.code != "" {
-			c.close()
+		if a := c.Do("SET zone " + zone); !a.OK() {
+			c.Close()
 			continue
 		}
 		for ctx.Err() == nil {
@@ -50,102 +49,46 @@
 			}
 			wait(ctx, thinkTime)
 		}
-		c.close()
+		c.Close()
 	}
 }
 
 // turn writes once and reads once; false when the session is over.
-func (s *Soak) turn(c *caller, database, workspace, zone, item string, count int, acknowledged *int) bool {
-	a := c.do(fmt.Sprintf("WRITE %s %d", item, count))
-	s.check.write(item, count, a, workspace, zone)
-	if a.lost {
+func (s *Soak) turn(c *patron.Patron, database, workspace, zone, item string, count int, acknowledged *int) bool {
+	a := c.Do(fmt.Sprintf("WRITE %s %d", item, count))
+	code := a.Code
+	if a.Lost {
+		code = "lost"
+	}
+	s.check.write(item, count, a.ID, code, a.Promises(), workspace, zone)
+	if a.Lost {
 		return false
 	}
-	if a.code == "" {
+	if a.OK() {
 		*acknowledged = count
 	}
 	truth, before := s.group.Truth(item)
-	r := c.do("READ " + item)
-	if r.lost {
-		return false
-	}
+	r := c.Do("READ " + item)
 	after, term := s.group.Truth(item)
-	if r.code == "" && term == before {
-		s.check.read(database, item, r, truth, after, *acknowledged)
+	if r.OK() && term == before {
+		s.check.read(database, item, r.Row(), truth, after, *acknowledged)
 	}
-	return true
-}
-
-// caller is one connection to a host.
-type caller struct {
-	net net.Conn
-	r   *bufio.Reader
-	id  int64
-	n   int
-}
-
-// sessions numbers the connections, so that no two statements share an id.
-var sessions atomic.Int64
-
-// answer is what a caller got.
-type answer struct {
-	id   string
-	code string
-	row  string
-	lost bool
+	return !r.Lost
 }
 
 var errRefused = errors.New("the host refused the session")
 
-func dial(address, database, key string) (*caller, error) {
+func dial(address, database, key string) (*patron.Patron, error) {
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, err
 	}
-	x := &caller{
-		id:  sessions.Add(1),
-		net: c,
-		r:   bufio.NewReader(c),
-	}
-	_, _ = fmt.Fprintf(c, "STARTUP %s %s\r\n", database, key) // a failure shows at the read
-	if a := x.read(""); a.lost || a.code != "" {
-		return nil, errors.Join(errRefused, c.Close())
-	}
-	return x, nil
-}
-
-func (c *caller) close() {
-	_ = c.net.Close()
-}
-
-func (c *caller) do(text string) answer {
-	c.n++
-	id := fmt.Sprintf("c%d-%d", c.id, c.n)
-	_, _ = fmt.Fprintf(c.net, "QUERY %s %s\r\n", id, text) // a failure shows at the read
-	return c.read(id)
-}
-
-func (c *caller) read(id string) answer {
-	a := answer{
-		id: id,
-	}
-	_ = c.net.SetReadDeadline(time.Now().Add(answerLimit)) // a failure shows at the read
-	for {
-		line, err := c.r.ReadString('\n')
-		if err != nil {
-			a.lost = true
-			return a
-		}
-		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
-		switch word {
-		case "DATAROW":
-			a.row = rest
-		case "ERROR":
-			a.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			return a
-		}
+	p, a := patron.Open(c, database, key, answerLimit)
+	if !a.OK() {
+		p.Close()
+		return nil, errRefused
 	}
+	return p, nil
 }
 
 // checker keeps the promises' account. It is safe for concurrent use.
@@ -171,35 +114,24 @@
 	k.problems = append(k.problems, fmt.Sprintf(format, args...))
 }
 
-// promises are the answers that say that nothing is kept.
-var promises = map[string]bool{
-	"BUSY":     true,
-	"ABORTED":  true,
-	"LAGGING":  true,
-	"READONLY": true,
-}
-
-func (k *checker) write(item string, count int, a answer, workspace, zone string) {
+// write notes a write's answer; code is the error's word, lost for none.
+func (k *checker) write(item string, count int, id, code string, promises bool, workspace, zone string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	code := a.code
-	if a.lost {
-		code = "lost"
-	}
 	k.counts["write "+code]++
-	k.expected[a.id] = [2]string{workspace, zone}
-	if promises[a.code] {
+	k.expected[id] = [2]string{workspace, zone}
+	if promises {
 		k.promised[fmt.Sprintf("%s=%d", item, count)] = true
 	}
 }
 
 // read checks that a read saw what was acknowledged to the session, or on the
 // primary's route to anybody, and still stands in the log.
-func (k *checker) read(database, item string, a answer, truth, after string, acknowledged int) {
+func (k *checker) read(database, item, row, truth, after string, acknowledged int) {
 	k.mu.Lock()
-	k.counts["read "+a.code]++
+	k.counts["read"]++
 	k.mu.Unlock()
-	got, _ := strconv.Atoi(a.row)
+	got, _ := strconv.Atoi(row)
 	standing, _ := strconv.Atoi(truth)
 	later, _ := strconv.Atoi(after)
 	need := min(acknowledged, standing, later)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,10 +1,8 @@
 package soak
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -143,18 +141,3 @@
 	defer p.mu.Unlock()
 	return p.why
 }
-
-// promote takes the orders that change the primary.
-func (s *Soak) promote(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		ID string `json:"id"`
-	}
-	if json.NewDecoder(r.Body).Decode(&o) != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.say("order to promote %s, token %s of %s", o.ID, r.Header.Get("X-Wasabislip-Fencing-Token"), r.Header.Get("X-Wasabislip-Lease-Holder"))
-	if !s.group.Promote(o.ID) {
-		w.WriteHeader(http.StatusConflict)
-	}
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -118,7 +118,7 @@
 		Slots:       3,
 		Connections: 40,
 	}
-	orders, err := s.serve(http.HandlerFunc(s.promote))
+	orders, err := s.serve(s.group)
 	if err != nil {
 		return err
 	}
@@ -281,6 +281,7 @@
 		}
 	}
 	s.check.finish(s.group)
+	s.say("orders: %v", s.group.Orders())
 	s.say("seed %d: %s", s.Seed, s.check.summary())
 	if err := s.check.err(); err != nil {
 		return fmt.Errorf("seed %d: %w (settings and logs in %s)", s.Seed, err, s.Dir)
--- a/internal/standin/mimic/mimic.go
+++ b/internal/standin/mimic/mimic.go
@@ -30,6 +30,7 @@
 	mu        sync.Mutex
 	instances map[string]*instance
 	runs      []run
+	orders    []string
 }
 
 type commit struct {
--- a/internal/standin/town/calm_test.go
+++ b/internal/standin/town/calm_test.go
@@ -29,8 +29,8 @@
 func TestCalm(t *testing.T) {
 	t.Run("a session reads its own writes", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			c, hello := w.Call(0, "own", "key-one")
-			is.True(hello.OK())
+			c, _, accepted := w.Call(0, "own", "key-one")
+			is.True(accepted)
 			defer c.Close()
 			for i := range 20 {
 				a := c.Do(fmt.Sprintf("WRITE item %d", i))
@@ -44,7 +44,7 @@
 	})
 	t.Run("a read of a stated age runs on a replica", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			c, _ := w.Call(1, "bounded", "key-one")
+			c, _, _ := w.Call(1, "bounded", "key-one")
 			defer c.Close()
 			for range 10 {
 				is.True(c.Do("READ item").OK())
@@ -57,7 +57,7 @@
 	})
 	t.Run("a transaction stays on one connection and can be undone", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			c, _ := w.Call(2, "strict", "key-one")
+			c, _, _ := w.Call(2, "strict", "key-one")
 			defer c.Close()
 			is.Equal(c.Do("BEGIN").State, "T")
 			is.True(c.Do("WRITE item one").OK())
@@ -74,8 +74,8 @@
 	})
 	t.Run("values and prepared names follow the session", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			one, _ := w.Call(0, "strict", "key-one")
-			two, _ := w.Call(0, "strict", "key-one")
+			one, _, _ := w.Call(0, "strict", "key-one")
+			two, _, _ := w.Call(0, "strict", "key-one")
 			defer one.Close()
 			defer two.Close()
 			is.True(one.Do("SET zone east").OK())
@@ -96,7 +96,7 @@
 	})
 	t.Run("values set in a transaction that is undone stay", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			c, _ := w.Call(0, "strict", "key-one")
+			c, _, _ := w.Call(0, "strict", "key-one")
 			defer c.Close()
 			is.True(c.Do("BEGIN").OK())
 			is.True(c.Do("READ item").OK())
@@ -124,15 +124,15 @@
 func TestRefusals(t *testing.T) {
 	t.Run("an unknown database and an unknown key", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			_, a := w.Call(0, "none", "key-one")
-			is.Equal(a.Code, "NOSUCHDB")
-			_, b := w.Call(0, "strict", "nobody")
-			is.Equal(b.Code, "UNAUTH")
+			_, a, _ := w.Call(0, "none", "key-one")
+			is.Equal(a, "NOSUCHDB")
+			_, b, _ := w.Call(0, "strict", "nobody")
+			is.Equal(b, "UNAUTH")
 		})
 	})
 	t.Run("a withdrawn key ends open sessions' work within the bound", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			c, _ := w.Call(2, "strict", "key-one")
+			c, _, _ := w.Call(2, "strict", "key-one")
 			defer c.Close()
 			is.True(c.Do("READ item").OK())
 			w.Configure(func(config map[string]any) {
@@ -144,7 +144,7 @@
 	})
 	t.Run("a statement that is not understood", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			c, _ := w.Call(0, "strict", "key-one")
+			c, _, _ := w.Call(0, "strict", "key-one")
 			defer c.Close()
 			for _, text := range []string{"SELECT 1", "READ", "BEGIN WRITE", "PREPARE s", "COMMIT", "ROLLBACK"} {
 				is.Equal(c.Do(text).Code, "MALFORMED")
@@ -154,7 +154,7 @@
 	})
 	t.Run("a resting transaction is rolled back and its caller told", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			c, _ := w.Call(0, "strict", "key-one")
+			c, _, _ := w.Call(0, "strict", "key-one")
 			defer c.Close()
 			is.True(c.Do("BEGIN").OK())
 			is.True(c.Do("WRITE item x").OK())
@@ -173,7 +173,7 @@
 			time.Sleep(3 * time.Second)
 			before := len(w.Group.Runs())
 			for i := range 3 {
-				c, _ := w.Call(i, "bounded", "key-one")
+				c, _, _ := w.Call(i, "bounded", "key-one")
 				defer c.Close()
 				for range 200 {
 					if a := c.Do("READ item"); !a.OK() {
--- a/internal/standin/town/fault_test.go
+++ b/internal/standin/town/fault_test.go
@@ -19,8 +19,8 @@
 	is.Helper()
 	began := time.Now()
 	for time.Since(began) < limit {
-		c, hello := w.Call(host, "strict", "key-one")
-		if hello.OK() {
+		c, _, accepted := w.Call(host, "strict", "key-one")
+		if accepted {
 			a := c.Do("WRITE probe x")
 			c.Close()
 			if a.OK() {
@@ -94,8 +94,8 @@
 func (l *load) session(w *town.Town, host int, item string) {
 	n, acknowledged := 0, 0
 	for !l.stopped() {
-		c, hello := w.Call(host, "own", "key-one")
-		if !hello.OK() {
+		c, _, accepted := w.Call(host, "own", "key-one")
+		if !accepted {
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
@@ -159,7 +159,7 @@
 			w.Crash("i-1")
 			is.True(writeUntil(is, w, 0, 10*time.Second) < 5*time.Second)
 			is.True(w.Group.Primary() != "i-1")
-			is.Equal(len(w.Orders), 1)
+			is.Equal(len(w.Group.Orders()), 1)
 		})
 	})
 	t.Run("the replica that received most takes over", func(t *testing.T) {
@@ -179,7 +179,7 @@
 			w.Start("i-1")
 			time.Sleep(5 * time.Second)
 			is.True(w.Group.Primary() != "i-1")
-			is.Equal(len(w.Orders), 1)
+			is.Equal(len(w.Group.Orders()), 1)
 		})
 	})
 	t.Run("nothing is promoted while every host only lost the store", func(t *testing.T) {
@@ -190,7 +190,7 @@
 			l := startLoad(w, 6)
 			time.Sleep(9 * time.Second)
 			l.end()
-			is.Equal(len(w.Orders), 0)
+			is.Equal(len(w.Group.Orders()), 0)
 			is.Equal(l.stale, 0)
 			is.True(l.refused*20 < l.done) // the replicas prove the primary meanwhile
 		})
@@ -205,8 +205,8 @@
 			took := writeUntil(is, w, 1, 12*time.Second)
 			is.True(took < 6*time.Second)
 			is.True(w.Group.Primary() != "i-1")
-			c, hello := w.Call(0, "strict", "key-one")
-			is.True(hello.OK())
+			c, _, accepted := w.Call(0, "strict", "key-one")
+			is.True(accepted)
 			a := c.Do("READ probe")
 			c.Close()
 			is.True(!a.OK()) // it would be a stale read
@@ -217,10 +217,10 @@
 			away := []string{town.IP(0), town.IP(3)}
 			cut(w, away)
 			time.Sleep(6 * time.Second)
-			orders := len(w.Orders)
+			orders := len(w.Group.Orders())
 			mend(w, away)
 			time.Sleep(4 * time.Second)
-			is.Equal(len(w.Orders), orders)
+			is.Equal(len(w.Group.Orders()), orders)
 		})
 	})
 }
@@ -267,7 +267,7 @@
 			is.True(w.Group.Primary() != "i-1")
 			is.Equal(l.stale, 0)
 			is.Equal(l.unknown, 0)
-			is.Equal(len(w.Orders), 1)
+			is.Equal(len(w.Group.Orders()), 1)
 		})
 	})
 	t.Run("an evacuated data centre gets nothing after the bound", func(t *testing.T) {
@@ -288,7 +288,7 @@
 	})
 	t.Run("a host that stops answers what it has read", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			open, _ := w.Call(1, "strict", "key-one")
+			open, _, _ := w.Call(1, "strict", "key-one")
 			is.True(open.Do("BEGIN").OK())
 			is.True(open.Do("WRITE item x").OK())
 			l := startLoad(w, 3)
@@ -321,10 +321,10 @@
 				config["tenants"] = []any{town.Workspace("one", 1000, "spare-one")}
 			})
 			time.Sleep(2500 * time.Millisecond)
-			_, a := w.Call(4, "strict", "key-one")
-			is.Equal(a.Code, "UNAUTH")
-			c, b := w.Call(4, "strict", "spare-one")
-			is.True(b.OK())
+			_, a, _ := w.Call(4, "strict", "key-one")
+			is.Equal(a, "UNAUTH")
+			c, _, b := w.Call(4, "strict", "spare-one")
+			is.True(b)
 			defer c.Close()
 			is.True(c.Do("READ item").OK())
 		})
@@ -337,8 +337,8 @@
 			})
 			w.Store.Forget()
 			time.Sleep(2500 * time.Millisecond)
-			_, a := w.Call(0, "strict", "key-one")
-			is.Equal(a.Code, "UNAUTH")
+			_, a, _ := w.Call(0, "strict", "key-one")
+			is.Equal(a, "UNAUTH")
 		})
 	})
 	t.Run("entries of other writers name no instance", func(t *testing.T) {
@@ -347,7 +347,7 @@
 			w.Store.Put("servers", "i-8", map[string]any{"service": "ledger", "state": "odd", "address": "10.128.0.9:8080", "zone": "a", "db_role": "replica"})
 			w.Store.Put("servers", "i-7", "text")
 			time.Sleep(2 * time.Second)
-			c, _ := w.Call(0, "bounded", "key-one")
+			c, _, _ := w.Call(0, "bounded", "key-one")
 			defer c.Close()
 			for range 5 {
 				is.True(c.Do("READ item").OK())
--- a/internal/standin/town/town.go
+++ b/internal/standin/town/town.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -53,8 +52,6 @@
 	// Group is the one service's instances, i-1, i-2 and i-3, the first being
 	// the primary.
 	Group *mimic.Group
-	// Orders are the promotions that were ordered, as instance/token.
-	Orders []string
 
 	mu        sync.Mutex
 	config    map[string]any
@@ -63,7 +60,6 @@
 	draining  map[string]bool
 	silent    map[string]bool
 	listeners []net.Listener
-	calls     int
 	stopped   chan struct{}
 	parts     sync.WaitGroup
 }
@@ -103,7 +99,7 @@
 		}
 	}
 	t.serve(StoreAddress, t.Store)
-	t.serve(orderAddress, http.HandlerFunc(t.order))
+	t.serve(orderAddress, t.Group)
 	for i, dc := range centres {
 		t.instance(i, dc)
 	}
@@ -132,23 +128,6 @@
 	return l
 }
 
-// order takes the orders that change the primary.
-func (t *Town) order(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		ID string `json:"id"`
-	}
-	if json.NewDecoder(r.Body).Decode(&o) != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	t.mu.Lock()
-	t.Orders = append(t.Orders, o.ID+"/"+r.Header.Get("X-Wasabislip-Fencing-Token"))
-	t.mu.Unlock()
-	if !t.Group.Promote(o.ID) {
-		w.WriteHeader(http.StatusConflict)
-	}
-}
-
 // Instance returns the id and the IP number of the instance at index i.
 func Instance(i int) (id, ip string) {
 	return fmt.Sprintf("i-%d", i+1), fmt.Sprintf("10.128.0.%d", i+1)
