Send callers elsewhere from a host that is cut off; limit cold instances

Cause: a host that lost the store and most other hosts can use no primary, and the balancer sent callers to it all the same; and an instance that has just started got as much as the others (FAILBACK), which no site here shows.

--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -384,9 +384,18 @@
 	}
 }
 
+// cutOff reports whether this host has lost both the store and most other
+// hosts, so that it can use no primary and others can.
+func (h *Host) cutOff() bool {
+	if h.mirror.Age(mirror.Fleet) < dbview.Lease {
+		return false
+	}
+	return 2*(len(h.gossip.Alive())+1) < len(h.mirror.Registered())
+}
+
 // answerReady tells the balancer whether to send new callers here.
 func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if h.isStopping() || h.mirror.Policy() == nil {
+	if h.isStopping() || h.mirror.Policy() == nil || h.cutOff() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/window"
 	"wasabislip.example/wasabislip/internal/services/link"
@@ -74,6 +76,8 @@
 	window  window.Window
 	// running counts the statements that the instance was given.
 	running int
+	// cold limits what an instance gets that has just started; nil for others.
+	cold *rate.Limiter
 	// sharing is how many hosts send to the instance.
 	sharing int
 }
@@ -147,6 +151,10 @@
 	if p.closed {
 		return nil, false, nil, gone(p.server.ID)
 	}
+	if p.cold != nil && !p.cold.Allow() {
+		p.refused++
+		return nil, false, nil, busy(p.server.ID)
+	}
 	if !p.room() {
 		w, err := p.queue(workspace, priority, wait)
 		return nil, false, w, err
@@ -185,6 +193,21 @@
 	return w, nil
 }
 
+// Warm bounds the statements a second that this host gives the instance while
+// it is cold after its start; 0 without a bound.
+func (p *Pool) Warm(perSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case perSecond <= 0:
+		p.cold = nil
+	case p.cold == nil:
+		p.cold = rate.NewLimiter(rate.Limit(perSecond), 1)
+	default:
+		p.cold.SetLimit(rate.Limit(perSecond))
+	}
+}
+
 // limit returns how many connections may be open now.
 func (p *Pool) limit() int {
 	if time.Now().Before(p.full) {
--- a/internal/services/conns/conns_test.go
+++ b/internal/services/conns/conns_test.go
@@ -88,6 +88,27 @@
 		_, err = get(p, "one", 0)
 		is.NoErr(err)
 	})
+	t.Run("a cold instance gets no more than its rate", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(open(1), 3, 20)
+			p.Warm(10)
+			ran := 0
+			for range 400 {
+				c, err := get(p, "one", 0)
+				if err == nil {
+					ran++
+					p.Put(c)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			is.True(ran <= 21) // 2 s at 10/s and the first
+			is.True(ran >= 18)
+			p.Warm(0)
+			_, err := get(p, "one", 0)
+			is.NoErr(err)
+		})
+	})
 	t.Run("the more urgent goes first", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/services/depot/depot.go
+++ b/internal/services/depot/depot.go
@@ -93,7 +93,13 @@
 	if p == nil {
 		return
 	}
-	e.pool.Resize(p.ConnectionLimit[e.server.Service], d.fleet.Sharing(e.server.DataCentre))
+	sharing := d.fleet.Sharing(e.server.DataCentre)
+	e.pool.Resize(p.ConnectionLimit[e.server.Service], sharing)
+	warm := 0.0
+	if s, ok := d.directory.Server(e.server.ID); ok && s.ColdFor > 0 {
+		warm = p.WarmRate[s.Service] / float64(sharing)
+	}
+	e.pool.Warm(warm)
 }
 
 // Run trims the pools until ctx ends.
--- a/internal/standin/town/caller.go
+++ b/internal/standin/town/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"wasabislip.example/wasabislip/internal/standin/patron"
@@ -10,6 +11,23 @@
 // callerIP is where callers come from.
 const callerIP = "10.9.0.1"
 
+// Ready reports whether a host tells the balancer that it is ready.
+func (t *Town) Ready(host int) bool {
+	c := &http.Client{
+		Transport: &http.Transport{
+			DialContext:       t.Net.Dialer(callerIP),
+			DisableKeepAlives: true,
+		},
+		Timeout: time.Second,
+	}
+	r, err := c.Get("http://" + IP(host) + readyPort + "/-/ready")
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
 // Call opens a session with a host; ok tells whether it was accepted, and code
 // why not.
 func (t *Town) Call(host int, database, key string) (c *patron.Patron, code string, ok bool) {
--- a/internal/standin/town/fault_test.go
+++ b/internal/standin/town/fault_test.go
@@ -383,3 +383,30 @@
 		})
 	})
 }
+
+func TestReady(t *testing.T) {
+	t.Run("a host that is cut off sends callers elsewhere until it is back", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			is.True(w.Ready(0))
+			away := []string{town.IP(0)}
+			cut(w, away)
+			time.Sleep(5 * time.Second)
+			is.True(!w.Ready(0))
+			is.True(w.Ready(1))
+			mend(w, away)
+			time.Sleep(4 * time.Second)
+			is.True(w.Ready(0))
+		})
+	})
+	t.Run("an outage of the store leaves all hosts ready", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			w.Store.Fault = func(string, bool) string {
+				return shelf.Busy
+			}
+			time.Sleep(6 * time.Second)
+			for i := range 6 {
+				is.True(w.Ready(i))
+			}
+		})
+	})
+}
