--- a/internal/models/window/window.go
+++ b/internal/models/window/window.go
@@ -13,17 +13,13 @@
 	// shrinkPause is the least time between two cuts: refusals of one burst
 	// count once. It is about the time that a statement takes.
 	shrinkPause = 30 * time.Millisecond
-	// refusedFor is how long an instance that refused is passed over where
-	// another can serve.
-	refusedFor = 25 * time.Millisecond
 )
 
 // Window is one host's limit at one instance. It is not safe for concurrent
 // use.
 type Window struct {
-	size    float64
-	cut     time.Time
-	refused time.Time
+	size float64
+	cut  time.Time
 }
 
 // Limit returns how many statements may be under way; at least one and at most
@@ -48,7 +44,6 @@
 
 // Refused notes that the instance had no room for a statement.
 func (w *Window) Refused(now time.Time, most int) {
-	w.refused = now
 	if now.Sub(w.cut) < shrinkPause {
 		return
 	}
@@ -58,8 +53,3 @@
 	}
 	w.size = max(1, w.size*shrink)
 }
-
-// Full reports whether the instance refused a statement just now.
-func (w *Window) Full(now time.Time) bool {
-	return !w.refused.IsZero() && now.Sub(w.refused) < refusedFor
-}
--- a/internal/models/window/window_test.go
+++ b/internal/models/window/window_test.go
@@ -44,12 +44,4 @@
 		}
 		is.Equal(w.Limit(most), most)
 	})
-	t.Run("an instance that just refused is known", func(t *testing.T) {
-		is := is.New(t)
-		var w window.Window
-		is.True(!w.Full(now))
-		w.Refused(now, most)
-		is.True(w.Full(now))
-		is.True(!w.Full(now.Add(time.Second)))
-	})
 }
--- a/internal/modules/jlog/jlog.go
+++ b/internal/modules/jlog/jlog.go
@@ -20,7 +20,6 @@
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Int64
-	written atomic.Int64
 }
 
 // New starts a writer to out. Close ends it.
@@ -54,11 +53,6 @@
 	return w.dropped.Load()
 }
 
-// Written returns how many lines were written.
-func (w *Writer) Written() int64 {
-	return w.written.Load()
-}
-
 // Close writes what is queued and ends the writer. Nothing may be written
 // after it.
 func (w *Writer) Close() {
@@ -71,6 +65,5 @@
 	for line := range w.lines {
 		// An output that fails leaves nowhere to report it.
 		_, _ = out.Write(line)
-		w.written.Add(1)
 	}
 }
--- a/internal/routers/holder/holder.go
+++ b/internal/routers/holder/holder.go
@@ -28,6 +28,8 @@
 const (
 	// writeTimeout bounds one answer to a host that reads slowly.
 	writeTimeout = time.Second
+	// acceptPause is the pause after a failed accept.
+	acceptPause = 10 * time.Millisecond
 	// maxErrand bounds one errand, in bytes: a statement of 1 MiB and its
 	// session.
 	maxErrand = 4 << 20
@@ -82,7 +84,7 @@
 		}
 		if err != nil {
 			klog.ErrorS(err, "another host's connection could not be accepted")
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(acceptPause)
 			continue
 		}
 		go h.serve(ctx, c)
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -261,14 +261,6 @@
 	p.window.Refused(time.Now(), p.most())
 }
 
-// Full reports whether the instance refused a statement just now, so that
-// another is to be preferred.
-func (p *Pool) Full() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.window.Full(time.Now()) || !p.room()
-}
-
 // take removes and returns the idle connection of the workspace that fits the
 // session best; nil without one. Connections that the instance closed go.
 func (p *Pool) take(workspace string, values map[string]string) *pconn.Conn {
--- a/internal/services/haul/haul.go
+++ b/internal/services/haul/haul.go
@@ -27,8 +27,12 @@
 	// over: from a few statements to a restart.
 	avoidLeast = 300 * time.Millisecond
 	avoidMost  = 3 * time.Second
+	// aliveFor is how long a list of live hosts is used again.
+	aliveFor = 50 * time.Millisecond
 )
 
+var errAvoided = errors.New("the host did not answer lately; ask again later")
+
 // fleet is what is known of the other hosts.
 type fleet interface {
 	Alive() []host.Host
@@ -108,8 +112,6 @@
 	return r, nil
 }
 
-var errAvoided = errors.New("the host did not answer lately; ask again later")
-
 // trip is one caller's statement or transaction on its way. One goroutine uses
 // it at a time.
 type trip struct {
@@ -157,9 +159,6 @@
 	return best, best.Name != ""
 }
 
-// aliveFor is how long a list of live hosts is used again.
-const aliveFor = 50 * time.Millisecond
-
 func (h *Haul) alive(now time.Time) []host.Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
