Pass on the reports of all hosts from hubs and readers

Change: hubs and readers send all reports that they know. Test: TestLargeFleet, 24 hosts that must keep hearing of all others; it failed before and passes now.

--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -320,10 +320,11 @@
 	}
 }
 
-// told returns what this host sends unasked: all that it knows of the hosts in
-// a small fleet, and itself in a large one, where answers bring the others.
+// told returns what this host sends unasked: all that it knows of the hosts, or
+// in a large fleet only itself, unless it passes on what it learns.
 func (g *Gossip) told() []*wasabislipv1.HostReport {
-	if len(g.Alive()) < smallFleet {
+	known := g.known()
+	if len(known) < smallFleet || g.passes(known) {
 		return g.reports()
 	}
 	return g.own()
--- a/internal/standin/town/fault_test.go
+++ b/internal/standin/town/fault_test.go
@@ -410,3 +410,19 @@
 		})
 	})
 }
+
+func TestLargeFleet(t *testing.T) {
+	// Found by hunt hanbit-swap-grown, quiet-1 --seed 416390301040: hosts that
+	// take each other for gone choose different homes for a rate.
+	t.Run("every host keeps hearing of all others", func(t *testing.T) {
+		const hosts = 24
+		play(t, hosts, func(is *is.I, w *town.Town) {
+			for range 20 {
+				time.Sleep(500 * time.Millisecond)
+				for i := range hosts {
+					is.Equal(w.Metric(i, "wasabislip_hosts"), float64(hosts-1))
+				}
+			}
+		})
+	})
+}
