Judge a read by how it was asked, not by who leads when it is answered

Cause, by reading: an instance that was asked as the primary, without a position, counted as a replica if the record had changed twice meanwhile; its answer would have been taken without any bound.

--- a/internal/services/talk/single.go
+++ b/internal/services/talk/single.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wasabislip.example/wasabislip/internal/models/leader"
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/server"
@@ -164,8 +165,11 @@
 // answer is what one instance answered to a read.
 type answer struct {
 	server server.Server
-	reply  reply.Reply
-	err    error
+	// replica tells that the instance was asked as a replica, for a log that
+	// holds the floor. Who leads may have changed since.
+	replica bool
+	reply   reply.Reply
+	err     error
 }
 
 func (x *reading) run(ctx context.Context) reply.Reply {
@@ -215,8 +219,8 @@
 		x.lagged[a.server.ID] = a.reply.Outcome == reply.Lagging
 		return a.reply, !a.reply.NotRun() && a.reply.Outcome != reply.Failed
 	}
-	if x.fresh(a.server) {
-		x.session.Meter.Read(x.onReplica(a.server))
+	if x.fresh(a) {
+		x.session.Meter.Read(a.replica)
 		return a.reply, true
 	}
 	return reply.Reply{}, false
@@ -224,16 +228,8 @@
 
 // fresh reports whether an answer is surely as fresh as the lane asks for: a
 // replica was given the floor, a primary must still lead.
-func (x *reading) fresh(from server.Server) bool {
-	if x.onReplica(from) {
-		return true
-	}
-	return x.view.Certain(from.ID)
-}
-
-func (x *reading) onReplica(s server.Server) bool {
-	l, _ := x.view.Leading()
-	return x.grant.lane.Freshness != route.Primary && s.ID != l.Primary && s.ID != l.Former
+func (x *reading) fresh(a answer) bool {
+	return a.replica || x.view.Certain(a.server.ID)
 }
 
 // next offers the read to another instance; a refusal says why there is none.
@@ -245,12 +241,12 @@
 	if x.tries >= maxTries {
 		return x.session.refusal(reply.Busy, "no-instance", "no instance can run the read now", busyAfter)
 	}
-	to, floor, found := x.choose()
+	to, replica, floor, found := x.choose()
 	wait := time.Duration(0)
 	if !found && patient && x.grant.lane.Freshness != route.Primary && x.full && !x.queued {
 		x.queued = true
 		clear(x.tried)
-		to, floor, found = x.choose()
+		to, replica, floor, found = x.choose()
 		wait = x.grant.queueWait()
 	}
 	if !found {
@@ -261,12 +257,12 @@
 		}
 		wait = x.grant.queueWait()
 	}
-	x.offer(ctx, to, floor, wait)
+	x.offer(ctx, to, replica, floor, wait)
 	return nil
 }
 
 // offer sends the read to one instance, beside the others that have it.
-func (x *reading) offer(ctx context.Context, to server.Server, floor logpos.Position, wait time.Duration) {
+func (x *reading) offer(ctx context.Context, to server.Server, replica bool, floor logpos.Position, wait time.Duration) {
 	x.tries++
 	x.session.last = decision{
 		instance: to.ID,
@@ -280,29 +276,36 @@
 	go func() {
 		r, err := a.single(ctx, x.query, x.values, x.prepared, floor)
 		x.answers <- answer{
-			server: to,
-			reply:  r,
-			err:    err,
+			server:  to,
+			replica: replica,
+			reply:   r,
+			err:     err,
 		}
 	}()
 }
 
 // choose picks the instance that the read is offered to next where its lane
-// lets it run on replicas, and the position that the log must hold.
-func (x *reading) choose() (server.Server, logpos.Position, bool) {
+// lets it run on replicas, whether as a replica, and the position that the log
+// must hold then: the primary holds its own log.
+func (x *reading) choose() (to server.Server, replica bool, floor logpos.Position, found bool) {
 	if x.grant.lane.Freshness == route.Primary {
-		return server.Server{}, logpos.Position{}, false
+		return server.Server{}, false, logpos.Position{}, false
 	}
 	floor, ok := x.view.Floor(x.arrived-x.grant.lane.MaxAge, x.session.own)
 	if !ok {
-		return server.Server{}, logpos.Position{}, false
+		return server.Server{}, false, logpos.Position{}, false
 	}
+	l, _ := x.view.Leading()
 	for _, s := range x.view.Readers(floor) {
-		if !x.tried[s.ID] && !x.lagged[s.ID] {
-			return s, x.needs(s, floor), true
+		if x.tried[s.ID] || x.lagged[s.ID] {
+			continue
 		}
+		if s.ID == l.Primary && l.Phase == leader.Settled {
+			return s, false, logpos.Position{}, true
+		}
+		return s, true, floor, true
 	}
-	return server.Server{}, logpos.Position{}, false
+	return server.Server{}, false, logpos.Position{}, false
 }
 
 // primary returns the primary where the read may still be offered to it.
@@ -321,12 +324,3 @@
 	}
 	return to, refusal
 }
-
-// needs returns the position to ask of an instance: the primary holds its own
-// log.
-func (x *reading) needs(to server.Server, floor logpos.Position) logpos.Position {
-	if x.onReplica(to) {
-		return floor
-	}
-	return logpos.Position{}
-}
