--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -106,11 +106,11 @@
 // platform starts the store, the orders and the instances.
 func (s *Soak) platform() error {
 	s.store = shelf.New()
-	s.store.Fault = func(string, bool) string {
+	s.store.SetFault(func(string, bool) string {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return s.fault
-	}
+	})
 	s.group = &mimic.Group{
 		Service:     "ledger",
 		Lag:         30 * time.Millisecond,
--- a/internal/standin/mimic/mimic.go
+++ b/internal/standin/mimic/mimic.go
@@ -57,6 +57,20 @@
 	conns map[*session]struct{}
 }
 
+// Slow changes how long replicas take to apply and statements to run.
+func (g *Group) Slow(lag, work time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Lag = lag
+	g.Work = work
+}
+
+func (g *Group) work() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Work
+}
+
 // Add adds an instance; the first one is the primary.
 func (g *Group) Add(id string) {
 	g.mu.Lock()
--- a/internal/standin/mimic/session.go
+++ b/internal/standin/mimic/session.go
@@ -246,7 +246,7 @@
 		s.fail("ABORTED")
 		return
 	}
-	s.work(g.Work)
+	s.work(g.work())
 	writes := s.tx.writes
 	s.note(id, text)
 	s.tx = nil
@@ -312,7 +312,7 @@
 		s.fail("READONLY")
 		return
 	}
-	s.work(g.Work)
+	s.work(g.work())
 	s.note(id, text)
 	if kind == "READ" {
 		s.done(id, s.value(item))
--- a/internal/standin/shelf/shelf.go
+++ b/internal/standin/shelf/shelf.go
@@ -22,10 +22,9 @@
 
 // Shelf is the store. It is safe for concurrent use.
 type Shelf struct {
-	// Fault decides what happens to a call from an IP number; nil for none.
-	Fault func(ip string, write bool) string
-
-	mu      sync.Mutex
+	mu sync.Mutex
+	// fault decides what happens to a call from an IP number; nil for none.
+	fault   func(ip string, write bool) string
 	version uint64
 	rows    map[string]row
 	changed chan struct{}
@@ -109,6 +108,14 @@
 	return r.Value
 }
 
+// SetFault sets what happens to calls, by the caller's IP number; nil for
+// nothing.
+func (s *Shelf) SetFault(fault func(ip string, write bool) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
 // Forget drops the history, so that no feed can be resumed.
 func (s *Shelf) Forget() {
 	s.mu.Lock()
@@ -146,9 +153,9 @@
 	s.calls++
 	fault := ""
 	write := r.URL.Path == "/-/rows-tx"
-	if s.Fault != nil {
+	if s.fault != nil {
 		ip, _, _ := net.SplitHostPort(r.RemoteAddr)
-		fault = s.Fault(ip, write)
+		fault = s.fault(ip, write)
 	}
 	s.mu.Unlock()
 	switch fault {
--- a/internal/standin/town/fault_test.go
+++ b/internal/standin/town/fault_test.go
@@ -184,9 +184,9 @@
 	})
 	t.Run("nothing is promoted while every host only lost the store", func(t *testing.T) {
 		play(t, 6, func(is *is.I, w *town.Town) {
-			w.Store.Fault = func(string, bool) string {
+			w.Store.SetFault(func(string, bool) string {
 				return shelf.Busy
-			}
+			})
 			l := startLoad(w, 6)
 			time.Sleep(9 * time.Second)
 			l.end()
@@ -311,12 +311,12 @@
 func TestStore(t *testing.T) {
 	t.Run("a host that the store turns away learns from the others", func(t *testing.T) {
 		play(t, 6, func(is *is.I, w *town.Town) {
-			w.Store.Fault = func(ip string, _ bool) string {
+			w.Store.SetFault(func(ip string, _ bool) string {
 				if ip == town.IP(4) {
 					return shelf.Silent
 				}
 				return ""
-			}
+			})
 			w.Configure(func(config map[string]any) {
 				config["tenants"] = []any{town.Workspace("one", 1000, "spare-one")}
 			})
@@ -372,8 +372,7 @@
 func TestLag(t *testing.T) {
 	t.Run("reads of own writes run on the primary while replicas lag", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
-			w.Group.Lag = 3 * time.Second
-			w.Group.Work = 20 * time.Millisecond
+			w.Group.Slow(3*time.Second, 20*time.Millisecond)
 			l := startSessions(w, 3, 14)
 			time.Sleep(5 * time.Second)
 			l.end()
@@ -400,9 +399,9 @@
 	})
 	t.Run("an outage of the store leaves all hosts ready", func(t *testing.T) {
 		play(t, 6, func(is *is.I, w *town.Town) {
-			w.Store.Fault = func(string, bool) string {
+			w.Store.SetFault(func(string, bool) string {
 				return shelf.Busy
-			}
+			})
 			time.Sleep(6 * time.Second)
 			for i := range 6 {
 				is.True(w.Ready(i))
