--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -26,8 +26,10 @@
 	cmd      *exec.Cmd
 	expected bool // an end is expected: it was killed or asked to stop
 	ended    bool
-	why      string
-	running  sync.WaitGroup
+	// restarting tells that the process is about to be started again.
+	restarting bool
+	why        string
+	running    sync.WaitGroup
 }
 
 func (s *Soak) host(i int) error {
@@ -110,7 +112,20 @@
 }
 
 // restart starts the process again once it has ended, unless the run is over.
+// Faults that end one process twice start it once.
 func (p *process) restart(after time.Duration) {
+	p.mu.Lock()
+	again := p.restarting
+	p.restarting = true
+	p.mu.Unlock()
+	if again {
+		return
+	}
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.restarting = false
+	}()
 	p.running.Wait()
 	time.Sleep(after)
 	p.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,6 +15,9 @@
 // its cause.
 var seeds = map[string]uint64{
 	"a first seed": 1,
+	// A host that was ended twice was started twice, and one of the two was
+	// never ended: a fault of the soak itself.
+	"a host ended twice": 1001,
 }
 
 func TestSoak(t *testing.T) {
