--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -231,12 +231,10 @@
 // fetch asks the host that knows more.
 func (g *Gossip) fetch(name string) {
 	g.mu.Lock()
-	p := g.hosts[name]
-	g.mu.Unlock()
-	if p == nil {
-		return
+	defer g.mu.Unlock()
+	if p := g.hosts[name]; p != nil {
+		go g.exchange(context.Background(), hostOf(p.report))
 	}
-	go g.exchange(context.Background(), hostOf(p.report))
 }
 
 // behind reports whether another host has newer copies of the tables whose
