--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,6 +29,7 @@
 	}
 	for name, seed := range seeds {
 		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
 			s := &soak.Soak{
 				Binary:  binary,
 				Hosts:   4,
