Let a restarted steward take back what its row names

A host that holds a database and restarts before its peers miss it is named by the term row and answers them, so that the first candidate leaves the database alone; the host itself looked only at databases whose first candidate it is. Nobody served the database again (traced: row "steward host-3 term 2", 35 s of not-steward from hosts 2 and 3). Ruled out: the platform's outage, which had ended, and the configuration, in force everywhere.

Change: a candidate reads the row of a database that it has not seen yet once, and takes it where the row names the host itself.

--- a/internal/bench/drive/drive.go
+++ b/internal/bench/drive/drive.go
@@ -101,24 +101,35 @@
 	}
 }
 
-// ready waits until every database takes writes.
+// ready waits until every database takes writes by way of every host: a host
+// whose configuration comes later than the first one's still refuses callers.
 func (d *Drive) ready() error {
 	end := time.Now().Add(readyWithin)
-	for i := range d.User.Spec.Databases {
-		for {
-			_, err := d.Once(0, i, d.User.Spec.DefaultRoute, "SELECT put('ready','1')")
-			if err == nil {
-				break
-			}
-			if time.Now().After(end) {
-				return fmt.Errorf("no write within %s: %w", readyWithin, err)
+	for h := range d.User.Hosts {
+		for i := range d.User.Spec.Databases {
+			if err := d.await(h, i, end); err != nil {
+				return err
 			}
-			time.Sleep(readyPause)
 		}
 	}
 	return nil
 }
 
+// await repeats a write by way of the host at index h to the database at index
+// b until it succeeds.
+func (d *Drive) await(h, b int, end time.Time) error {
+	for {
+		_, err := d.Once(h, b, d.User.Spec.DefaultRoute, "SELECT put('ready','1')")
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("no write within %s by way of host %s: %w", readyWithin, d.User.Hosts[h].Name, err)
+		}
+		time.Sleep(readyPause)
+	}
+}
+
 // Stop ends everything.
 func (d *Drive) Stop() {
 	d.Close()
--- a/internal/models/term/term.go
+++ b/internal/models/term/term.go
@@ -59,12 +59,12 @@
 // database, and why.
 func (t Term) MayTake(host string, first, stewardAlive bool) (bool, string) {
 	switch {
+	case t.Steward == host:
+		return true, "own-former-term"
 	case !first:
 		return false, "not-first-candidate"
 	case t.Steward == "":
 		return true, "no-steward"
-	case t.Steward == host:
-		return true, "own-former-term"
 	case !stewardAlive:
 		return true, "steward-gone"
 	}
--- a/internal/services/bureau/bureau_test.go
+++ b/internal/services/bureau/bureau_test.go
@@ -57,6 +57,8 @@
 	seats map[string]*seat
 	spec  *spec.Spec
 	table *table
+	// start starts the i-th host, also again.
+	start func(i int)
 }
 
 // seat is one host's bureau.
@@ -157,8 +159,9 @@
 			rows: map[string]record.Record{},
 		}
 		w.table = rows
-		for i, name := range w.hosts {
+		w.start = func(i int) {
 			ctx, cancel := context.WithCancel(t.Context())
+			name := fmt.Sprintf("h%d", i+1)
 			s := &seat{
 				w:      w,
 				name:   name,
@@ -172,14 +175,19 @@
 				Meter:   metric.New(),
 				Dial:    network.Dialer(fmt.Sprintf("10.0.1.%d", i)),
 			})
-			w.seats[name] = s
+			w.change(func() { w.seats[name] = s })
 			s.Apply(w.spec)
 			go s.Run(ctx)
-			defer func() {
-				cancel()
-				<-s.Done()
-			}()
 		}
+		for i := range w.hosts {
+			w.start(i)
+		}
+		defer func() {
+			for _, s := range w.seats {
+				s.cancel()
+				<-s.Done()
+			}
+		}()
 		time.Sleep(2 * time.Second)
 		test(is.New(t), w)
 	})
@@ -238,6 +246,20 @@
 			served(is, w, "h2")
 		})
 	})
+	t.Run("a host that restarts unnoticed takes what its row names", func(t *testing.T) {
+		scene(t, func(is *is.I, w *world) {
+			w.change(func() { w.hosts = []string{"h2", "h3"} })
+			time.Sleep(2 * time.Second)
+			w.change(func() { w.hosts = []string{"h1", "h2", "h3"} })
+			time.Sleep(time.Second)
+			served(is, w, "h2")
+			w.seats["h2"].cancel()
+			<-w.seats["h2"].Done()
+			w.start(1)
+			time.Sleep(3 * time.Second)
+			served(is, w, "h2")
+		})
+	})
 	t.Run("a row whose steward lives is seldom read, and taken at once when it dies", func(t *testing.T) {
 		scene(t, func(is *is.I, w *world) {
 			w.change(func() { w.hosts = []string{"h2", "h3"} })
--- a/internal/services/bureau/take.go
+++ b/internal/services/bureau/take.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -57,12 +58,30 @@
 	defer p.Wait()
 	for i := range s.Databases {
 		d := &s.Databases[i]
-		if b.find(d.Name) == nil && b.first(d.Name) && !b.servedElsewhere(d.Name) {
+		if b.find(d.Name) == nil && b.concerns(d.Name) {
 			p.Go(func() { b.consider(ctx, s, d) })
 		}
 	}
 }
 
+// concerns reports whether this host may have to take a database that it does
+// not hold: as the first live candidate, or as the steward that the row names.
+// A host that restarts before others miss it answers them, so that none of
+// them takes what it held.
+func (b *Bureau) concerns(database string) bool {
+	if b.first(database) {
+		return !b.servedElsewhere(database)
+	}
+	sh := b.shard(database)
+	sh.mu.RLock()
+	known, ok := sh.seen[database]
+	sh.mu.RUnlock()
+	if ok {
+		return known.host == b.placement.Self()
+	}
+	return slices.Contains(b.placement.Candidates(database), b.placement.Self())
+}
+
 // first reports whether this host is the first live candidate.
 func (b *Bureau) first(database string) bool {
 	for _, host := range b.placement.Candidates(database) {
@@ -131,7 +150,7 @@
 		return
 	}
 	answers := row.Steward != "" && row.Steward != b.placement.Self() && b.placement.Answers(ctx, row.Steward, row.Address)
-	take, reason := row.MayTake(b.placement.Self(), true, answers)
+	take, reason := row.MayTake(b.placement.Self(), b.first(d.Name), answers)
 	if take {
 		b.take(s, d, reason)
 	}
