--- /dev/null
+++ b/internal/modules/audit/audit_test.go
@@ -0,0 +1,59 @@
+package audit_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/modules/audit"
+	"wasabislip.example/wasabislip/internal/modules/jlog"
+)
+
+// logged returns what f logs.
+func logged(f func()) string {
+	var out bytes.Buffer
+	w := jlog.New(&out)
+	w.Install()
+	f()
+	w.Close()
+	return out.String()
+}
+
+func TestAudit(t *testing.T) {
+	t.Run("a flood of refusals writes a bounded number of lines and tells of the others", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			text := logged(func() {
+				a := audit.New()
+				for range 5 {
+					for range 1000 {
+						a.Problem("statement refused or failed", "request", "r")
+					}
+					time.Sleep(time.Second)
+				}
+			})
+			lines := strings.Count(text, "\n")
+			is.True(lines <= 5*40+40)
+			is.True(lines >= 5*40)
+			is.True(strings.Contains(text, `"suppressed":960`))
+		})
+	})
+	t.Run("each request that fails alone is logged", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			text := logged(func() {
+				a := audit.New()
+				for range 10 {
+					a.Problem("statement refused or failed", "request", "r")
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+			is.Equal(strings.Count(text, "\n"), 10)
+			is.True(!strings.Contains(text, "suppressed"))
+		})
+	})
+}
--- /dev/null
+++ b/internal/modules/audit/cost_test.go
@@ -0,0 +1,51 @@
+package audit_test
+
+import (
+	"io"
+	"testing"
+
+	"wasabislip.example/wasabislip/internal/modules/audit"
+	"wasabislip.example/wasabislip/internal/modules/jlog"
+)
+
+// decision is the fields of a usual refusal.
+func decision() []any {
+	return []any{
+		"request", "d711e7b856b30b6c",
+		"kind", "read",
+		"database", "shops-ledger",
+		"outcome", "busy",
+		"message", "over-rate: the workspace is over its rate: rate 25.0, asked for 34.5 at its home",
+		"retry-after", "48ms",
+		"session-position", "1/5023",
+		"instance", "i-8486b94fa1",
+		"floor", "1/5010",
+		"tries", 2,
+		"lease-age", "412ms",
+		"workspace", "shops-sejong",
+		"version", uint64(15),
+		"took", "1.4ms",
+	}
+}
+
+// BenchmarkDecision measures what a logged decision costs the request: a line
+// that is written, and one that the bound on lines suppresses.
+func BenchmarkDecision(b *testing.B) {
+	w := jlog.New(io.Discard)
+	defer w.Close()
+	w.Install()
+	b.Run("written", func(b *testing.B) {
+		a := audit.New()
+		b.ReportAllocs()
+		for b.Loop() {
+			a.Success("statement done", decision()...)
+		}
+	})
+	b.Run("suppressed", func(b *testing.B) {
+		a := audit.New()
+		b.ReportAllocs()
+		for b.Loop() {
+			a.Problem("statement refused or failed", decision()...)
+		}
+	})
+}
