Call the store less often; leave the balancer sooner when cut off

The operators' feed answers a change at once, so that its wait can be longer; instances write each 1.2 s.

Change: the operators' feed waits 1.2 s (0.6), the hosts' 0.5 s (0.4), instances are read each 0.9 s (0.6); a host that heard neither the store nor most others for 1.5 s (2.5) is not ready.

Test: TestReady wants a cut-off host away after 2 s, failed before.

--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -51,6 +51,10 @@
 	// settleTime is how long after its start a host may not have heard of all
 	// others: some rounds of gossip.
 	settleTime = 2 * time.Second
+	// cutOffAfter is how long a host hears neither of the store nor of most
+	// others before it sends callers elsewhere: copies and reports are a second
+	// old at most in the calm, and the balancer needs as long again.
+	cutOffAfter = 1500 * time.Millisecond
 	// memoryPart is the part of the memory limit at which the collector works
 	// harder; the rest is for stacks and for what the kernel counts.
 	memoryPart = 0.7
@@ -396,12 +400,12 @@
 }
 
 // cutOff reports whether this host has lost both the store and most other
-// hosts, so that it can use no primary and others can.
+// hosts, so that it soon can use no primary and others can.
 func (h *Host) cutOff() bool {
-	if h.mirror.Age(mirror.Fleet) < dbview.Lease {
+	if h.mirror.Age(mirror.Fleet) < cutOffAfter {
 		return false
 	}
-	return 2*(len(h.gossip.Alive())+1) < len(h.mirror.Registered())
+	return 2*(h.gossip.Heard(cutOffAfter)+1) < len(h.mirror.Registered())
 }
 
 // answerReady tells the balancer whether to send new callers here.
--- a/internal/services/gossip/hosts.go
+++ b/internal/services/gossip/hosts.go
@@ -32,6 +32,20 @@
 	return list
 }
 
+// Heard returns how many other hosts said something so lately.
+func (g *Gossip) Heard(within time.Duration) int {
+	now := uptime.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, p := range g.hosts {
+		if now-p.heard < within {
+			n++
+		}
+	}
+	return n
+}
+
 // Seen returns the newest version of the leaders' records that a host obeys; 0
 // when it never said.
 func (g *Gossip) Seen(name string) uint64 {
--- a/internal/services/mirror/follow.go
+++ b/internal/services/mirror/follow.go
@@ -43,20 +43,21 @@
 }
 
 var paces = map[string]pace{
-	// Changes are needed within the bound for configurations, 3 s and more.
+	// A change ends the wait at once; an unchanged copy ages meanwhile. Changes
+	// are needed within the bound for configurations, 3 s and more.
 	Operators: {
-		wait:  600 * time.Millisecond,
-		stale: 2200 * time.Millisecond,
+		wait:  1200 * time.Millisecond,
+		stale: 2400 * time.Millisecond,
 	},
 	// Each call renews the leases of primaries.
 	Fleet: {
-		wait:  400 * time.Millisecond,
-		stale: 1300 * time.Millisecond,
+		wait:  500 * time.Millisecond,
+		stale: 1400 * time.Millisecond,
 	},
 	// Instances write every second or so; a feed would answer at once.
 	Servers: {
-		every: 600 * time.Millisecond,
-		stale: 1800 * time.Millisecond,
+		every: 900 * time.Millisecond,
+		stale: 2100 * time.Millisecond,
 	},
 }
 
--- a/internal/standin/town/fault_test.go
+++ b/internal/standin/town/fault_test.go
@@ -393,7 +393,11 @@
 			is.True(w.Ready(0))
 			away := []string{town.IP(0)}
 			cut(w, away)
-			time.Sleep(5 * time.Second)
+			// Its lease has not run out yet, but callers that come now are served
+			// later than that.
+			time.Sleep(2 * time.Second)
+			is.True(!w.Ready(0))
+			time.Sleep(3 * time.Second)
 			is.True(!w.Ready(0))
 			is.True(w.Ready(1))
 			mend(w, away)
