--- a/cmd/wasabislip/edge.go
+++ b/cmd/wasabislip/edge.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"wasabislip.example/wasabislip/internal/models/tuning"
 	"wasabislip.example/wasabislip/internal/modules/inet"
 	"wasabislip.example/wasabislip/internal/modules/jlog"
 	"wasabislip.example/wasabislip/internal/modules/local"
@@ -60,6 +61,7 @@
 		Orders:        order.New(settings.OrderAddress, machine.Dial),
 		Instances:     lines.Dialer(machine.Dial),
 		Network:       machine,
+		Tuning:        tuning.Default(),
 		Wire:          lines.Caller,
 		Dropped:       log.Dropped,
 	}
--- a/internal/routers/edge/caller.go
+++ b/internal/routers/edge/caller.go
@@ -123,6 +123,7 @@
 		Rates:     x.host.rates,
 		Audit:     x.host.audit,
 		Meter:     x.host.counts,
+		Tuning:    x.host.Tuning,
 		Database:  database,
 		Key:       key,
 	}
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -20,6 +20,7 @@
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/models/tuning"
 	"wasabislip.example/wasabislip/internal/models/tuple"
 	"wasabislip.example/wasabislip/internal/modules/audit"
 	"wasabislip.example/wasabislip/internal/modules/counts"
@@ -114,6 +115,8 @@
 	Instances dialer
 	// Network listens and dials other hosts.
 	Network network
+	// Tuning decides how long statements wait.
+	Tuning tuning.Tuning
 	// Wire wraps a caller's connection.
 	Wire func(c net.Conn) wire.Wire
 	// Dropped tells how many log lines were dropped.
--- a/internal/services/talk/single.go
+++ b/internal/services/talk/single.go
@@ -16,23 +16,8 @@
 )
 
 const (
-	// queuePart is the part of the time in which a caller expects the answer
-	// that a statement may wait for a connection. What waits longer is late
-	// anyway and keeps others from being in time.
-	queuePart = 0.25
-	// ratePart is the part of that time for which a statement may wait for its
-	// turn in the workspace's rate. It is known at once whether and when that
-	// comes, and a caller that is sent away comes back at a worse moment.
-	ratePart = 0.5
-	// changePart is the part of a statement's time for which it waits for a
-	// new primary; a change takes about a second, and a caller that is sent
-	// away comes back too soon.
-	changePart = 0.4
 	// changePoll is how often a waiting statement looks for the new primary.
 	changePoll = 20 * time.Millisecond
-	// hedgeAfter is how long a read stays unanswered before another instance
-	// is asked beside the first: some times the usual work of a read.
-	hedgeAfter = 150 * time.Millisecond
 	// maxTries bounds how often one statement is offered: to each of three
 	// instances at once, and again to wait for a connection.
 	maxTries = 6
@@ -46,19 +31,19 @@
 
 // queueWait is how long a statement of a lane may wait for a connection.
 func (g grant) queueWait() time.Duration {
-	return time.Duration(float64(g.lane.Target) * queuePart)
+	return time.Duration(float64(g.lane.Target) * g.tuning.Queue)
 }
 
 // rateWait is how long a statement of a lane may wait for its turn in the rate.
 func (g grant) rateWait() time.Duration {
-	return time.Duration(float64(g.lane.Target) * ratePart)
+	return time.Duration(float64(g.lane.Target) * g.tuning.Rate)
 }
 
 // awaitPrimary returns the primary. While it is being replaced it waits a
 // while; a host that can't use the primary says so at once, and elsewhere tells
 // that another host may.
 func (s *Session) awaitPrimary(ctx context.Context, v *dbview.View, g grant) (to server.Server, elsewhere bool, refusal *reply.Reply) {
-	limit := time.Now().Add(time.Duration(float64(g.lane.Timeout) * changePart))
+	limit := time.Now().Add(time.Duration(float64(g.lane.Timeout) * g.tuning.Change))
 	for {
 		p, reason := v.Primary()
 		switch {
@@ -205,7 +190,7 @@
 }
 
 func (x *reading) hedgeAfter() time.Duration {
-	return min(max(hedgeAfter, x.grant.lane.Target/2), x.grant.lane.Timeout/2)
+	return min(max(x.grant.tuning.Hedge, x.grant.lane.Target/2), x.grant.lane.Timeout/2)
 }
 
 // result is the answer after the last try: what an instance said, or why no
--- a/internal/services/talk/talk.go
+++ b/internal/services/talk/talk.go
@@ -12,6 +12,7 @@
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/models/tuning"
 	"wasabislip.example/wasabislip/internal/modules/audit"
 	"wasabislip.example/wasabislip/internal/services/dbview"
 	"wasabislip.example/wasabislip/internal/services/haul"
@@ -59,6 +60,8 @@
 	Audit *audit.Audit
 	// Meter counts what callers got.
 	Meter meter
+	// Tuning decides how long statements wait.
+	Tuning tuning.Tuning
 	// Database is the database that the caller asked for.
 	Database string
 	// Key is the key that the caller showed; empty without one.
@@ -90,6 +93,7 @@
 type grant struct {
 	lane      lane.Lane
 	workspace string
+	tuning    tuning.Tuning
 }
 
 // Open checks the caller's database and key at its start.
@@ -119,6 +123,7 @@
 	return grant{
 		lane:      l,
 		workspace: workspace,
+		tuning:    s.Tuning,
 	}, nil
 }
 
--- a/internal/standin/town/town.go
+++ b/internal/standin/town/town.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"wasabislip.example/wasabislip/internal/models/tuning"
 	"wasabislip.example/wasabislip/internal/modules/local"
 	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/internal/routers/edge"
@@ -49,6 +50,8 @@
 	Net *memnet.Network
 	// Store is the platform's store.
 	Store *shelf.Shelf
+	// Tuning is the hosts'; set before they start.
+	Tuning tuning.Tuning
 	// Group is the one service's instances, i-1, i-2 and i-3, the first being
 	// the primary.
 	Group *mimic.Group
@@ -79,8 +82,9 @@
 func New() *Town {
 	uptime.Restart()
 	t := &Town{
-		Net:   memnet.New(near),
-		Store: shelf.New(),
+		Net:    memnet.New(near),
+		Store:  shelf.New(),
+		Tuning: tuning.Default(),
 		Group: &mimic.Group{
 			Service:     "ledger",
 			Lag:         60 * time.Millisecond,
@@ -312,6 +316,7 @@
 		Orders:        order.New(orderAddress, machine.Dial),
 		Instances:     lines.Dialer(machine.Dial),
 		Network:       machine,
+		Tuning:        t.Tuning,
 		Wire:          lines.Caller,
 		Dropped: func() int64 {
 			return 0
