Compare policies on the emulator: a lab of experiments

Whole hosts of the emulator play each policy (how long statements wait) against each load with the same faults and arrivals; the result is a table of what callers got and a plot a load. docs/LAB.md says how, and holds the first experiment: all hosts lose power.

--- /dev/null
+++ b/internal/lab/design/design_test.go
@@ -0,0 +1,69 @@
+package design_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/lab/design"
+	"wasabislip.example/wasabislip/internal/models/tuning"
+)
+
+const whole = `
+name: calm
+hosts: 3
+length: 2s
+policies:
+  - name: usual
+  - name: patient
+    tuning: {queue: 0.5}
+loads:
+  - name: one
+    streams:
+      - {workspace: shops, limit: 100, database: own, rate: 50, from: 1s, for: 1s, times: 3}
+faults:
+  - {kind: store-away, at: 1s, for: 500ms}
+`
+
+func TestParse(t *testing.T) {
+	t.Run("what a policy leaves out is as usual", func(t *testing.T) {
+		is := is.New(t)
+		d, err := design.Parse([]byte(whole))
+		is.NoErr(err)
+		is.Equal(d.Policies[0].Tuning, tuning.Default())
+		is.Equal(d.Policies[1].Tuning.Queue, 0.5)
+		is.Equal(d.Policies[1].Tuning.Rate, tuning.Default().Rate)
+		s := &d.Loads[0].Streams[0]
+		is.Equal(s.At(500*time.Millisecond), 50.0)
+		is.Equal(s.At(1500*time.Millisecond), 150.0)
+	})
+	t.Run("all that is wrong is told at once", func(t *testing.T) {
+		is := is.New(t)
+		_, err := design.Parse([]byte(`
+name: wrong
+loads:
+  - name: one
+    streams:
+      - {workspace: shops, limit: 100, database: other, rate: 50}
+faults:
+  - {kind: flood, at: 1s}
+`))
+		is.True(err != nil)
+		for _, part := range []string{"hosts and length", "at least one policy", "database must be", `"flood" is not known`} {
+			is.True(strings.Contains(err.Error(), part))
+		}
+	})
+	t.Run("an unknown field is told", func(t *testing.T) {
+		is := is.New(t)
+		_, err := design.Parse([]byte(strings.Replace(whole, "length:", "lengths:", 1)))
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), "lengths"))
+	})
+	t.Run("the file that the docs name", func(t *testing.T) {
+		is := is.New(t)
+		_, err := design.Load("../../../deploy/lab/power-lost.yaml")
+		is.NoErr(err)
+	})
+}
--- /dev/null
+++ b/internal/lab/play/play_test.go
@@ -0,0 +1,84 @@
+package play_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/lab/design"
+	"wasabislip.example/wasabislip/internal/lab/fault"
+	"wasabislip.example/wasabislip/internal/lab/load"
+	"wasabislip.example/wasabislip/internal/lab/play"
+	"wasabislip.example/wasabislip/internal/lab/result"
+	"wasabislip.example/wasabislip/internal/lab/tally"
+	"wasabislip.example/wasabislip/internal/models/tuning"
+)
+
+// run plays one stream under the paused clock.
+func run(t *testing.T, limit float64, faults ...fault.Fault) (got *tally.Tally) {
+	t.Helper()
+	d, err := design.Parse([]byte("{name: one, hosts: 3, length: 1s, policies: [{name: usual}], loads: [{name: one, streams: [{workspace: shops, limit: 1, database: own, rate: 60, writes: 0.2}]}]}"))
+	is.New(t).NoErr(err)
+	l := load.Load{
+		Name:    "one",
+		Streams: d.Loads[0].Streams,
+	}
+	l.Streams[0].Limit = limit
+	synctest.Test(t, func(t *testing.T) {
+		p := &play.Play{
+			Hosts:  3,
+			Length: 4 * time.Second,
+			Seed:   1,
+			Tuning: tuning.Default(),
+			Load:   l,
+			Faults: faults,
+		}
+		got = p.Run(t.Context())
+	})
+	return got
+}
+
+func TestPlay(t *testing.T) {
+	t.Run("in the calm all are served in time", func(t *testing.T) {
+		is := is.New(t)
+		got := run(t, 200)
+		is.True(got.Asked() > 150)
+		is.True(got.Count(tally.InTime)*100 >= got.Asked()*99)
+		is.True(got.Worst() >= 0.99)
+	})
+	t.Run("what is over the rate is refused, not failed", func(t *testing.T) {
+		is := is.New(t)
+		got := run(t, 20)
+		is.True(got.Count(tally.Refused) > 0)
+		is.Equal(got.Count(tally.Failed), 0)
+	})
+	t.Run("a crash of the primary shows in what callers get", func(t *testing.T) {
+		is := is.New(t)
+		got := run(t, 200, fault.Fault{
+			Kind: fault.Crash,
+			At:   time.Second,
+		})
+		is.True(got.Count(tally.InTime) < got.Asked())
+		is.True(got.Count(tally.InTime) > got.Asked()/4)
+	})
+}
+
+func TestResult(t *testing.T) {
+	is := is.New(t)
+	r := &result.Result{
+		Name: "one",
+	}
+	one := &tally.Tally{}
+	one.Note("shops", 0, tally.InTime, 20*time.Millisecond)
+	one.Note("shops", time.Second, tally.Refused, 0)
+	one.Note("salons", time.Second, tally.Late, 400*time.Millisecond)
+	r.Add("steady", "usual", one)
+	var text bytes.Buffer
+	is.NoErr(r.Table(&text))
+	is.True(strings.Contains(text.String(), "| steady | usual | 3 | 33.3% | 33.3% | 33.3% | 0.0% | 400 ms | 400 ms | 50.0% |"))
+	is.NoErr(r.Plots(t.TempDir()))
+}
