Leave a primary in place while its lapsed entry may still come back

At 6.48 s a host replaced a primary that served, as primary-unregistered; its log shows the former primary out of use at 11.77 s, no candidate, and the change done at 17.43 s: a database away for 11 s. The patience with a missing entry was 1 s; entries are back within two seconds of the store's return. Ruled out: the primary itself, which answered, and another host's change.

Change: the patience is 2.2 s. The mirror keeps such an instance for 3 s.

--- a/internal/services/change/change.go
+++ b/internal/services/change/change.go
@@ -31,8 +31,10 @@
 	// cost less than a change.
 	cutFor = 1500 * time.Millisecond
 	// missingFor is how long the entry of a primary that still answers is gone
-	// before it is replaced.
-	missingFor = time.Second
+	// before it is replaced: entries that lapsed during an outage of the store
+	// are back within two seconds of its return. It is less than the time for
+	// which the mirror keeps the instance.
+	missingFor = 2200 * time.Millisecond
 	// touchAge is the age of the fleet's table past which this host counts as
 	// cut off. Other hosts read the store once a copy is older than a second, so
 	// that only a host without a way to any of them gets there.
--- a/internal/services/gossip/spread_test.go
+++ b/internal/services/gossip/spread_test.go
@@ -18,7 +18,7 @@
 // nothing knows of no service and no demand.
 type nothing struct{}
 
-func (nothing) Reports() []*wasabislipv1.ServiceReport             { return nil }
+func (nothing) Reports() []*wasabislipv1.ServiceReport { return nil }
 func (nothing) Behind([]*wasabislipv1.ServiceReport) bool {
 	return false
 }
--- a/internal/standin/town/fault_test.go
+++ b/internal/standin/town/fault_test.go
@@ -329,6 +329,27 @@
 			is.True(c.Do("READ item").OK())
 		})
 	})
+	// Found on hanbit-swap-grown, trouble-3: a primary whose entry was about to
+	// come back was replaced, and its database was away for 11 s.
+	t.Run("an entry that lapsed with the store may come back", func(t *testing.T) {
+		play(t, 6, func(is *is.I, w *town.Town) {
+			w.Store.SetFault(func(string, bool) string {
+				return shelf.Busy
+			})
+			primary, _ := town.Instance(0)
+			w.Lapse(primary)
+			time.Sleep(4 * time.Second)
+			w.Store.SetFault(nil)
+			l := startLoad(w, 6)
+			// With the heartbeat it is back within 2 s.
+			time.Sleep(800 * time.Millisecond)
+			w.Renew(primary)
+			time.Sleep(5 * time.Second)
+			l.end()
+			is.Equal(len(w.Group.Orders()), 0)
+			is.Equal(l.refused, 0)
+		})
+	})
 	t.Run("lost history is read anew", func(t *testing.T) {
 		play(t, 3, func(is *is.I, w *town.Town) {
 			w.Store.Forget()
--- a/internal/standin/town/town.go
+++ b/internal/standin/town/town.go
@@ -212,6 +212,22 @@
 	}()
 }
 
+// Lapse removes the entry of an instance, which serves on. It is written again
+// at the next heartbeat after Renew.
+func (t *Town) Lapse(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[id] = true
+	t.Store.Drop(decode.ServerTable, id)
+}
+
+// Renew ends a Lapse.
+func (t *Town) Renew(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[id] = false
+}
+
 // Start brings an instance back.
 func (t *Town) Start(id string) {
 	t.mu.Lock()
