--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -28,7 +28,7 @@
 const (
 	// interval is the time between two exchanges of a host in a small fleet, or
 	// of one that passes on what it learns in a large one; leafInterval that of
-	// all others there. With the readers' 0.4 s a copy of the fleet's table is
+	// all others there. With the readers' 0.5 s a copy of the fleet's table is
 	// a second old at most.
 	interval     = 200 * time.Millisecond
 	leafInterval = 350 * time.Millisecond
