Give parts of a rate no burst where homes count

Cause: a host that gets no answer from a home goes by its part, whose bucket held its share of the burst beside the home's, which had granted the burst already.

Change: parts hold two operations where homes count.

Next to look at: while a home leaves, hosts that know it and hosts that do not ask two homes at once, each at the whole rate.

--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -237,11 +237,21 @@
 		w.heard = min(1, float64(alive)/float64(hosts))
 		w.part = part
 		w.elsewhere = all
-		w.bucket.Set(now, part, max(leastBurst, burst/float64(hosts)))
+		w.bucket.Set(now, part, r.partBurst(burst, hosts))
 		s.mu.Unlock()
 	}
 }
 
+// partBurst is how much a host may admit at once by its part. Where homes count,
+// the whole burst is theirs: a host that gets no answer from one for a moment
+// must not spend it again.
+func (r *Rates) partBurst(burst float64, hosts int) float64 {
+	if r.Homes != nil {
+		return leastBurst
+	}
+	return max(leastBurst, burst/float64(hosts))
+}
+
 // budget returns the rate and the burst that all hosts share, so that a window
 // holds no more than it allows: rate x window + burst, and the tolerance that
 // operators grant since hosts can't know at each moment what others admitted.
--- a/internal/services/rates/rates_test.go
+++ b/internal/services/rates/rates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -16,6 +17,7 @@
 	"wasabislip.example/wasabislip/internal/models/claim"
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/services/rates"
+	"wasabislip.example/wasabislip/pkg/model/host"
 	"wasabislip.example/wasabislip/pkg/model/space"
 )
 
@@ -274,6 +276,55 @@
 	})
 }
 
+// away is a home that does not answer.
+type away struct{}
+
+func (away) Home(string) (host.Host, bool) {
+	return host.Host{}, true
+}
+
+func (away) Ask(context.Context, host.Host, string, claim.Claim) (bool, time.Duration, string, error) {
+	return false, 0, "", errors.New("no answer")
+}
+
+// TestAway plays hanbit-swap, limits-and-floods --vary --seed 1034405844715: the
+// home has granted the burst and leaves, and every host that gets no answer from
+// it goes by its part for a moment.
+func TestAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(85, 85)
+		for _, h := range f.hosts {
+			h.Homes = away{}
+		}
+		f.share()
+		home := f.hosts[0]
+		home.Grant("w", claim.Claim{})
+		time.Sleep(counted) // the burst is whole
+		f.share()
+		granted := 0
+		for range 8 {
+			f.share()
+			for range 245 {
+				if ok, _, _ := home.Grant("w", claim.Claim{}); ok {
+					granted++
+				}
+				time.Sleep(step / 2)
+			}
+		}
+		for _, h := range f.hosts[1:] {
+			for range 100 {
+				if ok, _, _ := h.Admit(context.Background(), "w", claim.Claim{}); ok {
+					granted++
+				}
+			}
+		}
+		allowed := (85*counted.Seconds()+85)*(1+overage) + tolerance
+		t.Logf("%d in less than a window, allowed %.0f", granted, allowed)
+		is.True(float64(granted) <= allowed)
+	})
+}
+
 // crowd sends operations to a workspace's home: some at once, then others at a
 // steady pace. Each is offered three times, as callers do that come back soon
 // whatever they were told. It returns the part that was admitted.
