Let a former home of a rate forget what it saved up

A host that was a workspace's home for a moment, as after the start of all hosts, keeps its bucket. Ruled out: the waits (trials without any broke it too), the parts' burst, the share that is kept back.

Change: while another host is the home, the bucket is dropped.

--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -95,7 +95,9 @@
 	// grants them; heard is the part of the hosts that it hears.
 	counted demand
 	home    share.Share
-	heard   float64
+	// homed tells that this host granted as the home since it was it last.
+	homed bool
+	heard float64
 }
 
 func (r *Rates) shard(workspace string) *shard {
@@ -135,6 +137,7 @@
 	w.counted.add(now)
 	above := w.counted.demand > w.policy.Rate
 	rate, burst := r.budget(w.policy, w.counted.exceeded(now, above) >= r.Window)
+	w.homed = true
 	w.home.Begin(now, homeStart)
 	w.home.Set(now, rate*w.heard, max(1, burst*w.heard))
 	ok, after = take(&w.home, now, c, w.counted.exceeded(now, above) >= crowdFor)
@@ -238,10 +241,25 @@
 		w.part = part
 		w.elsewhere = all
 		w.bucket.Set(now, part, r.partBurst(burst, hosts))
+		if w.homed && r.elsewhere(name) {
+			// Another host grants now: what this one would save up meanwhile
+			// would be granted twice once it is the home again.
+			w.homed = false
+			w.home = share.Share{}
+		}
 		s.mu.Unlock()
 	}
 }
 
+// elsewhere reports whether another host is the home of a workspace.
+func (r *Rates) elsewhere(workspace string) bool {
+	if r.Homes == nil {
+		return false
+	}
+	_, elsewhere := r.Homes.Home(workspace)
+	return elsewhere
+}
+
 // partBurst is how much a host may admit at once by its part. Where homes count,
 // the whole burst is theirs: a host that gets no answer from one for a moment
 // must not spend it again.
--- a/internal/services/rates/rates_test.go
+++ b/internal/services/rates/rates_test.go
@@ -325,6 +325,57 @@
 	})
 }
 
+// placed tells hosts where the home is.
+type placed struct {
+	here bool
+}
+
+func (p *placed) Home(string) (host.Host, bool) {
+	return host.Host{}, !p.here
+}
+
+func (p *placed) Ask(context.Context, host.Host, string, claim.Claim) (bool, time.Duration, string, error) {
+	return false, 0, "", errors.New("not asked in this play")
+}
+
+// TestReturn plays hanbit-swap and chps-dakar, limits-and-floods --vary --seed
+// 1034405844715 and 1048802820803: a host that was the home for a moment, when
+// all hosts had started, becomes it again after others granted the burst.
+func TestReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(85, 85)
+		var homes []*placed
+		for _, h := range f.hosts {
+			p := &placed{}
+			homes = append(homes, p)
+			h.Homes = p
+		}
+		var granted []time.Duration
+		start := time.Now()
+		ask := func(n int, length time.Duration, pause time.Duration) {
+			homes[n].here = true
+			for began := time.Now(); time.Since(began) < length; {
+				f.share()
+				for range int(200 * time.Millisecond / pause) {
+					if ok, _, _ := f.hosts[n].Grant("w", claim.Claim{}); ok {
+						granted = append(granted, time.Since(start))
+					}
+					time.Sleep(pause)
+				}
+			}
+			homes[n].here = false
+		}
+		ask(0, 400*time.Millisecond, 50*time.Millisecond)
+		ask(1, 5*time.Second, 50*time.Millisecond) // its burst is whole
+		ask(1, 2*time.Second, time.Millisecond)
+		ask(0, 3*time.Second, time.Millisecond)
+		allowed := (85*counted.Seconds()+85)*(1+overage) + tolerance
+		t.Logf("at most %d in a window, allowed %.0f", most(granted), allowed)
+		is.True(float64(most(granted)) <= allowed)
+	})
+}
+
 // crowd sends operations to a workspace's home: some at once, then others at a
 // steady pace. Each is offered three times, as callers do that come back soon
 // whatever they were told. It returns the part that was admitted.
