Derive a home's state, and give claims names of their own

Read as a newcomer: - A flag said that a home's bucket is in use; the bucket knows that itself. - An errand's priority was also a claim's level, its wait also the wait for the rate, and the time to come back also the time to start.

No behaviour changes but that waits for the rate are rounded up to a millisecond between hosts in both directions.

--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -40,6 +40,15 @@
 	return s.Rate
 }
 
+// Limits returns the declared rates by workspace.
+func (l *Load) Limits() map[string]float64 {
+	limits := map[string]float64{}
+	for _, s := range l.Streams {
+		limits[s.Workspace] = s.Limit
+	}
+	return limits
+}
+
 // Problems returns what is wrong with the load, each with its remedy.
 func (l *Load) Problems() []string {
 	var list []string
--- a/internal/lab/play/play.go
+++ b/internal/lab/play/play.go
@@ -29,12 +29,6 @@
 	tries     = 3
 	backLeast = 30 * time.Millisecond
 	backMost  = 190 * time.Millisecond
-	// target and timeout are those of the emulator's databases.
-	target  = 250 * time.Millisecond
-	timeout = 800 * time.Millisecond
-	// usualLag and usualWork are the instances' outside of a fault.
-	usualLag  = 60 * time.Millisecond
-	usualWork = 5 * time.Millisecond
 )
 
 // Play is one policy against one load.
@@ -64,7 +58,7 @@
 	p.town = town.New()
 	defer p.town.Close()
 	p.town.Tuning = p.Tuning
-	p.town.Configure(p.configure)
+	p.town.Declare(p.Load.Limits(), p.Priorities)
 	for i := range p.Hosts {
 		p.town.Host(i)
 	}
@@ -83,24 +77,6 @@
 	return p.tally
 }
 
-func (p *Play) configure(config map[string]any) {
-	var spaces []any
-	known := map[string]bool{}
-	for _, s := range p.Load.Streams {
-		if !known[s.Workspace] {
-			spaces = append(spaces, town.Workspace(s.Workspace, s.Limit, "key-"+s.Workspace))
-		}
-		known[s.Workspace] = true
-	}
-	config["tenants"] = spaces
-	for _, r := range config["routes"].([]any) {
-		lane := r.(map[string]any)
-		if n, ok := p.Priorities[lane["host"].(string)]; ok {
-			lane["priority"] = n
-		}
-	}
-}
-
 // disturb makes the faults happen, one after the other.
 func (p *Play) disturb(ctx context.Context, began time.Time) {
 	for _, f := range p.Faults {
@@ -127,7 +103,7 @@
 		id, _ := town.Instance(0)
 		p.town.Crash(id)
 	case fault.Slow:
-		p.town.Group.Slow(usualLag, f.Work)
+		p.town.Group.Slow(town.Lag, f.Work)
 	case fault.Away:
 		p.town.Store.SetFault(func(string, bool) string {
 			return shelf.Busy
@@ -147,7 +123,7 @@
 			p.town.Start(id)
 		}
 	case fault.Slow:
-		p.town.Group.Slow(usualLag, usualWork)
+		p.town.Group.Slow(town.Lag, town.Work)
 	case fault.Away:
 		p.town.Store.SetFault(nil)
 	}
@@ -201,7 +177,7 @@
 		if n > 0 {
 			time.Sleep(backLeast + time.Duration(o.random.Int64N(int64(backMost-backLeast))))
 		}
-		left := timeout - time.Since(o.came)
+		left := town.Timeout - time.Since(o.came)
 		if left <= 0 {
 			return outcome
 		}
@@ -224,7 +200,7 @@
 	c.Limit = left
 	a := c.Do(o.text)
 	switch {
-	case a.OK() && time.Since(o.came) <= target:
+	case a.OK() && time.Since(o.came) <= town.Target:
 		return tally.InTime, false
 	case a.OK():
 		return tally.Late, false
--- a/internal/models/errand/errand.go
+++ b/internal/models/errand/errand.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"wasabislip.example/wasabislip/internal/models/claim"
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
@@ -20,7 +21,6 @@
 	// Abandon rolls the open transaction back. It has no answer.
 	Abandon
 	// Admit takes one operation of the workspace from its rate, at its home.
-	// The time to come back in its answer is when an admitted one may run.
 	Admit
 )
 
@@ -42,11 +42,12 @@
 	ReadOnly bool
 	// Floor is what the instance's log must hold; zero without a bound.
 	Floor logpos.Position
-	// Priority orders those who wait for a connection, or is the level of a
-	// claim; 0 goes first.
+	// Priority orders those who wait for a connection; 0 goes first.
 	Priority int
-	// Wait bounds the wait for a connection, or for the rate.
+	// Wait bounds the wait for a connection.
 	Wait time.Duration
+	// Claim is what an Admit asks for.
+	Claim claim.Claim
 	// Deadline is when the statement's time is over.
 	Deadline time.Time
 }
--- a/internal/models/reply/reply.go
+++ b/internal/models/reply/reply.go
@@ -62,6 +62,8 @@
 	Message string
 	// RetryAfter is when the caller may come back; 0 when not known.
 	RetryAfter time.Duration
+	// StartAfter is how long an admitted operation waits for its turn.
+	StartAfter time.Duration
 	// State is Idle, Open or Broken.
 	State int
 	// Position is the end of the instance's log; zero when not told.
--- a/internal/models/share/share.go
+++ b/internal/models/share/share.go
@@ -34,6 +34,11 @@
 	}
 }
 
+// Begun reports whether the bucket is in use.
+func (s *Share) Begun() bool {
+	return !s.last.IsZero()
+}
+
 // Set changes the host's part. A new bucket is half full: a host that starts
 // may not know what its former process spent.
 func (s *Share) Set(now time.Time, rate, burst float64) {
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -192,11 +192,13 @@
 	r, err := h.haul.Ask(ctx, home, &errand.Errand{
 		Kind:      errand.Admit,
 		Workspace: workspace,
-		Wait:      c.Wait,
-		Priority:  c.Level,
+		Claim:     c,
 		Deadline:  time.Now().Add(homeTimeout),
 	})
-	return r.Outcome == reply.Done, r.RetryAfter, r.Message, err
+	if r.Outcome != reply.Done {
+		return false, r.RetryAfter, r.Message, err
+	}
+	return true, r.StartAfter, "", err
 }
 
 // Size returns how many hosts share the workspaces' rates. Soon after the start few were heard, but all are
--- a/internal/routers/holder/holder.go
+++ b/internal/routers/holder/holder.go
@@ -189,13 +189,10 @@
 	if e.Kind != errand.Admit {
 		return x.runner.Do(ctx, e)
 	}
-	ok, after, why := x.holder.rates.Grant(e.Workspace, claim.Claim{
-		Wait:  e.Wait,
-		Level: e.Priority,
-	})
+	ok, after, why := x.holder.rates.Grant(e.Workspace, e.Claim)
 	if ok {
 		return reply.Reply{
-			RetryAfter: after,
+			StartAfter: after,
 		}, nil
 	}
 	return reply.Reply{
@@ -211,7 +208,8 @@
 		Outcome:      int32(a.Outcome),
 		Signature:    a.Signature,
 		Message:      a.Message,
-		RetryAfterMs: uint32((a.RetryAfter + time.Millisecond - 1) / time.Millisecond),
+		RetryAfterMs: milliseconds(a.RetryAfter),
+		StartAfterMs: milliseconds(a.StartAfter),
 		State:        int32(a.State),
 		Term:         a.Position.Term,
 		Offset:       a.Position.Offset,
@@ -233,6 +231,11 @@
 	return x.w.Flush()
 }
 
+// milliseconds rounds up, so that nobody comes too early.
+func milliseconds(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
+}
+
 func decode(m *wasabislipv1.Errand) *errand.Errand {
 	s := m.GetStatement()
 	timeout := min(time.Duration(m.GetTimeoutMs())*time.Millisecond, maxTimeout)
@@ -257,6 +260,10 @@
 		},
 		Priority: int(m.GetPriority()),
 		Wait:     time.Duration(m.GetWaitMs()) * time.Millisecond,
+		Claim: claim.Claim{
+			Wait:  time.Duration(m.GetClaimWaitMs()) * time.Millisecond,
+			Level: int(m.GetClaimLevel()),
+		},
 		Deadline: time.Now().Add(timeout),
 	}
 }
--- a/internal/services/haul/remote.go
+++ b/internal/services/haul/remote.go
@@ -80,6 +80,7 @@
 		Signature:  a.GetSignature(),
 		Message:    a.GetMessage(),
 		RetryAfter: time.Duration(a.GetRetryAfterMs()) * time.Millisecond,
+		StartAfter: time.Duration(a.GetStartAfterMs()) * time.Millisecond,
 		State:      int(a.GetState()),
 		Position: logpos.Position{
 			Term:   a.GetTerm(),
@@ -109,6 +110,8 @@
 		Priority:    int32(e.Priority),
 		WaitMs:      milliseconds(e.Wait),
 		TimeoutMs:   milliseconds(time.Until(e.Deadline)),
+		ClaimWaitMs: milliseconds(e.Claim.Wait),
+		ClaimLevel:  int32(e.Claim.Level),
 	})
 	if err != nil {
 		return err
--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -95,9 +95,7 @@
 	// grants them; heard is the part of the hosts that it hears.
 	counted demand
 	home    share.Share
-	// homed tells that this host granted as the home since it was it last.
-	homed bool
-	heard float64
+	heard   float64
 }
 
 func (r *Rates) shard(workspace string) *shard {
@@ -135,12 +133,11 @@
 	}
 	now := time.Now()
 	w.counted.add(now)
-	above := w.counted.demand > w.policy.Rate
-	rate, burst := r.budget(w.policy, w.counted.exceeded(now, above) >= r.Window)
-	w.homed = true
+	exceeded := w.counted.exceeded(now, w.counted.demand > w.policy.Rate)
+	rate, burst := r.budget(w.policy, exceeded >= r.Window)
 	w.home.Begin(now, homeStart)
 	w.home.Set(now, rate*w.heard, max(1, burst*w.heard))
-	ok, after = take(&w.home, now, c, w.counted.exceeded(now, above) >= crowdFor)
+	ok, after = take(&w.home, now, c, exceeded >= crowdFor)
 	if !ok {
 		why = fmt.Sprintf("rate %.1f, asked for %.1f at its home", w.policy.Rate, w.counted.demand)
 	}
@@ -241,23 +238,21 @@
 		w.part = part
 		w.elsewhere = all
 		w.bucket.Set(now, part, r.partBurst(burst, hosts))
-		if w.homed && r.elsewhere(name) {
-			// Another host grants now: what this one would save up meanwhile
-			// would be granted twice once it is the home again.
-			w.homed = false
-			w.home = share.Share{}
-		}
+		r.forget(name, w)
 		s.mu.Unlock()
 	}
 }
 
-// elsewhere reports whether another host is the home of a workspace.
-func (r *Rates) elsewhere(workspace string) bool {
-	if r.Homes == nil {
-		return false
+// forget drops what this host saved up as the home of a workspace whose home is
+// another host now: that one grants it, and this one would again once it is the
+// home anew.
+func (r *Rates) forget(workspace string, w *usage) {
+	if r.Homes == nil || !w.home.Begun() {
+		return
+	}
+	if _, elsewhere := r.Homes.Home(workspace); elsewhere {
+		w.home = share.Share{}
 	}
-	_, elsewhere := r.Homes.Home(workspace)
-	return elsewhere
 }
 
 // partBurst is how much a host may admit at once by its part. Where homes count,
--- a/internal/standin/town/town.go
+++ b/internal/standin/town/town.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +46,17 @@
 	Grace = 6 * time.Second
 )
 
+// What the databases and the instances are like.
+const (
+	// Target and Timeout are those of every database.
+	Target  = 250 * time.Millisecond
+	Timeout = 800 * time.Millisecond
+	// Lag is how long replicas take to apply, and Work how long a statement
+	// takes.
+	Lag  = 60 * time.Millisecond
+	Work = 5 * time.Millisecond
+)
+
 // Town is the platform. Its methods are for one test goroutine.
 type Town struct {
 	// Net is the network.
@@ -87,8 +100,8 @@
 		Tuning: tuning.Default(),
 		Group: &mimic.Group{
 			Service:     "ledger",
-			Lag:         60 * time.Millisecond,
-			Work:        5 * time.Millisecond,
+			Lag:         Lag,
+			Work:        Work,
 			Slots:       3,
 			Connections: 22,
 		},
@@ -249,14 +262,32 @@
 	t.Store.Put(decode.OperatorTable, "config", t.config)
 }
 
+// Declare makes these the workspaces, by name with their rates, each with the key
+// key-NAME, and gives databases priorities; the others keep theirs.
+func (t *Town) Declare(rates map[string]float64, priorities map[string]int) {
+	t.Configure(func(config map[string]any) {
+		var list []any
+		for _, name := range slices.Sorted(maps.Keys(rates)) {
+			list = append(list, Workspace(name, rates[name], "key-"+name))
+		}
+		config["tenants"] = list
+		for _, r := range config["routes"].([]any) {
+			lane := r.(map[string]any)
+			if n, ok := priorities[lane["host"].(string)]; ok {
+				lane["priority"] = n
+			}
+		}
+	})
+}
+
 func firstConfig() map[string]any {
 	lane := func(host, kind string, age int) map[string]any {
 		return map[string]any{
 			"name":              "r-" + host,
 			"host":              host,
 			"type":              kind,
-			"timeout_ms":        800,
-			"target_latency_ms": 250,
+			"timeout_ms":        Timeout.Milliseconds(),
+			"target_latency_ms": Target.Milliseconds(),
 			"priority":          1,
 			"service":           "ledger",
 			"max_staleness_ms":  age,
