Log where a lease comes from and what replicas answer in a failover

Statements now carry lease-source, first copies their age, and each replica's answer has a line. A host logs when a lease begins to be renewed by the replicas, once for each such time.

No logic is changed.

--- a/internal/services/dbview/dbview.go
+++ b/internal/services/dbview/dbview.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"wasabislip.example/wasabislip/internal/models/leader"
 	"wasabislip.example/wasabislip/internal/models/marks"
 	"wasabislip.example/wasabislip/internal/models/server"
@@ -215,23 +217,42 @@
 	if !ok {
 		return false
 	}
-	asOf := v.tables.LeasesAsOf()
-	if v.leasePrimary == id {
-		asOf = max(asOf, v.leaseRenewed)
-	}
+	asOf, _ := v.leaseAsOf(id)
 	asOf = min(asOf, until)
 	return asOf >= registered && uptime.Now()-asOf < Lease
 }
 
+// Sources of a lease, for log lines.
+const (
+	// SourceStore is a copy of the fleet table.
+	SourceStore = "store"
+	// SourceReplicas is the answer of all replicas that they follow the primary.
+	SourceReplicas = "replicas"
+)
+
+// leaseAsOf returns the moment from which the lease on id counts, and its source.
+func (v *View) leaseAsOf(id string) (asOf time.Duration, source string) {
+	asOf = v.tables.LeasesAsOf()
+	if v.leasePrimary == id && v.leaseRenewed > asOf {
+		return v.leaseRenewed, SourceReplicas
+	}
+	return asOf, SourceStore
+}
+
 // LeaseAge returns the time since the primary's lease was last renewed.
 func (v *View) LeaseAge() time.Duration {
+	age, _ := v.LastRenewal()
+	return age
+}
+
+// LastRenewal returns the time since the primary's lease was last renewed, and the
+// source of that renewal.
+func (v *View) LastRenewal() (age time.Duration, source string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	asOf := v.tables.LeasesAsOf()
-	if l, _ := v.leader(); v.leasePrimary == l.Primary {
-		asOf = max(asOf, v.leaseRenewed)
-	}
-	return uptime.Now() - asOf
+	l, _ := v.leader()
+	asOf, source := v.leaseAsOf(l.Primary)
+	return uptime.Now() - asOf, source
 }
 
 // Handover reports whether id is being replaced in a planned failover. What it
@@ -248,6 +269,9 @@
 func (v *View) RenewLease(id string, asOf time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.leasePrimary != id || asOf-v.leaseRenewed >= Lease {
+		klog.InfoS("the lease is renewed by the replicas", "service", v.service, "primary", id, "age", (uptime.Now() - asOf).String())
+	}
 	if v.leasePrimary != id {
 		v.leasePrimary = id
 		v.leaseRenewed = asOf
--- a/internal/services/failov/steps.go
+++ b/internal/services/failov/steps.go
@@ -294,12 +294,14 @@
 func (a *attempt) pauseReplicas(ctx context.Context) {
 	for _, s := range a.failover.candidates(a.service, a.record.FormerPrimary) {
 		r, outcome, err := a.failover.Prober.Status(ctx, s)
-		if err != nil || outcome != reply.Done {
-			continue
+		if err == nil && outcome == reply.Done {
+			r, outcome, err = a.failover.Prober.PauseReplication(ctx, s, max(r.Term, r.PausedTerm)+1)
 		}
-		if _, _, err := a.failover.Prober.PauseReplication(ctx, s, max(r.Term, r.PausedTerm)+1); err != nil {
+		if err != nil {
 			klog.InfoS("a replica could not be stopped from receiving", "service", a.service, "instance", s.ID, "err", err.Error())
+			continue
 		}
+		klog.InfoS("a replica was asked to stop receiving", "service", a.service, "instance", s.ID, "outcome", reply.OutcomeName(outcome), "paused-term", r.PausedTerm, "received", r.Received.String())
 	}
 }
 
--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -343,7 +343,7 @@
 		return
 	}
 	if version > t.version {
-		t.trackEra(version)
+		t.trackEra(version, asOf)
 		t.version = version
 	}
 	t.asOf = max(t.asOf, asOf)
@@ -381,7 +381,7 @@
 	if version < t.version {
 		return false
 	}
-	t.trackEra(version)
+	t.trackEra(version, asOf)
 	former := t.sum
 	known := t.rows
 	sums := t.sums
@@ -402,9 +402,9 @@
 	return t.sum != former || len(known) != len(rows)
 }
 
-// trackEra notes the start of a new era with the copy of a version. The caller holds
-// the lock.
-func (t *table) trackEra(version uint64) {
+// trackEra notes the start of a new era with the copy of a version as of asOf. The
+// caller holds the lock.
+func (t *table) trackEra(version uint64, asOf time.Duration) {
 	if t.version != 0 && tuple.Era(version) == tuple.Era(t.version) {
 		return
 	}
@@ -415,7 +415,7 @@
 	if era := tuple.Era(version); t.version != 0 {
 		klog.InfoS("the store was restored from an older copy", "table", t.name, "era", era, "version", tuple.Counter(version), "former-era", tuple.Era(t.version), "former-version", tuple.Counter(t.version))
 	} else {
-		klog.InfoS("first copy of a table", "table", t.name, "era", era, "version", tuple.Counter(version))
+		klog.InfoS("first copy of a table", "table", t.name, "era", era, "version", tuple.Counter(version), "age", (uptime.Now() - asOf).String())
 	}
 }
 
--- a/internal/services/sess/autocommit.go
+++ b/internal/services/sess/autocommit.go
@@ -72,10 +72,12 @@
 		return *refusal
 	}
 	a := s.newAttempt(v, to, g, g.maxQueueWait(), deadline)
+	leaseAge, leaseSource := v.LastRenewal()
 	s.lastDecision = decision{
-		instance: to.ID,
-		attempts: 1,
-		leaseAge: v.LeaseAge(),
+		instance:    to.ID,
+		attempts:    1,
+		leaseAge:    leaseAge,
+		leaseSource: leaseSource,
 	}
 	r, err := a.autocommit(ctx, q, s.settings, s.prepared[q.Name].Value, logpos.Position{})
 	if err != nil {
@@ -270,11 +272,13 @@
 // send sends the read to one instance, while others may still be running it.
 func (x *readRequest) send(ctx context.Context, to server.Server, replica bool, minPosition logpos.Position, wait time.Duration) {
 	x.attempts++
+	leaseAge, leaseSource := x.view.LastRenewal()
 	x.session.lastDecision = decision{
 		instance:    to.ID,
 		minPosition: minPosition,
 		attempts:    x.attempts,
-		leaseAge:    x.view.LeaseAge(),
+		leaseAge:    leaseAge,
+		leaseSource: leaseSource,
 	}
 	x.tried[to.ID] = true
 	x.running++
--- a/internal/services/sess/sess.go
+++ b/internal/services/sess/sess.go
@@ -91,6 +91,8 @@
 	attempts int
 	// leaseAge is how long ago the lease of the primary was last renewed.
 	leaseAge time.Duration
+	// leaseSource is where that renewal came from.
+	leaseSource string
 }
 
 // grant is what the configuration allows a caller now.
@@ -361,6 +363,7 @@
 		"floor", s.lastDecision.minPosition.String(),
 		"tries", s.lastDecision.attempts,
 		"lease-age", s.lastDecision.leaseAge.String(),
+		"lease-source", s.lastDecision.leaseSource,
 	}
 	if p := s.Config.Policy(); p != nil {
 		fields = append(fields, "workspace", p.Owners[s.Key], "version", p.Version)
