Count a lease only from moments after the start of the process

Cause: a process's clock began at zero, and zero also stood for never. A host that started beside a failover took a copy of the fleet table from another host, which had not reached the store for 3.4 s. The as-of time of that copy lies before the start, so below zero, and max with the zero of the empty table moved it to the start. The host then used the primary for 2.5 s from its start, while the holder of the failover waited for leases that count from before its record. The same zero gave a lease by a first copy of an era that is not open, and made copies and the reports of other hosts look younger than they were.

A registration counts from the start of the process at the earliest. That also closes a second way: the holder takes a host's word that it obeys the record, and a process of the same host that starts afterwards could use an older copy.

--- a/internal/modules/uptime/uptime.go
+++ b/internal/modules/uptime/uptime.go
@@ -12,15 +12,21 @@
 	suspendedAtStart = suspendedTime()
 )
 
-// Now returns the time since the process started. Unlike the Go runtime's clock it
-// includes the time for which the machine was suspended. Otherwise a host that was
-// suspended would take its lease for valid after the end of the lease. The clock
-// stands still while a test pauses the time (testing/synctest).
+// origin is the reading of the clock at the start of the process. A process learns from
+// others of moments before its own start. They have readings above zero, so that zero,
+// which stands for never, is not taken for a moment at which something was known.
+const origin = 24 * time.Hour
+
+// Now returns a reading of the clock: origin and the time since the process started.
+// Unlike the Go runtime's clock it includes the time for which the machine was
+// suspended. Otherwise a host that was suspended would take its lease for valid after
+// the end of the lease. The clock stands still while a test pauses the time
+// (testing/synctest).
 func Now() time.Duration {
-	return time.Since(started) + suspendedTime() - suspendedAtStart
+	return origin + time.Since(started) + suspendedTime() - suspendedAtStart
 }
 
-// Restart sets the clock back to zero. A simulated environment that runs hosts
+// Restart sets the clock back to origin. A simulated environment that runs hosts
 // under a fake test clock calls it first, since that clock begins at another time.
 func Restart() {
 	started = time.Now()
--- a/internal/services/enroll/enroll.go
+++ b/internal/services/enroll/enroll.go
@@ -72,6 +72,8 @@
 	directory directory
 	store     writer
 	fleet     fleet
+	// started is when this host's process started.
+	started time.Duration
 
 	mu sync.Mutex
 	// registeredSince is since when this host has been registered, if registered,
@@ -101,6 +103,7 @@
 		directory: d,
 		store:     w,
 		fleet:     f,
+		started:   uptime.Now(),
 		silent:    map[string]*silence{},
 	}
 }
@@ -108,7 +111,8 @@
 // Registered returns since when and until when this host is known to be registered; ok
 // is false if it is not registered. While its registration is suspended, until stays
 // where it is: the suspension came later, and the registration is not removed before
-// all leases that count from until have expired.
+// all leases that count from until have expired. A process is not registered before its
+// start: what the host's former process reported may have ended the wait of a failover.
 func (r *Registrar) Registered() (since, until time.Duration, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,8 +126,8 @@
 	}
 	if !r.registered {
 		r.registered = true
-		r.registeredSince = max(0, r.directory.AsOf(mirror.Fleet))
-		r.registeredAsOf = r.registeredSince
+		r.registeredAsOf = r.directory.AsOf(mirror.Fleet)
+		r.registeredSince = max(r.started, r.registeredAsOf)
 	}
 	return r.registeredSince, math.MaxInt64, true
 }
