Promote only after a replica was held for the time of a lease

Callers may have had writes acknowledged at the former primary after another instance was promoted, until their lease ended, up to 2.5 s.

Cause: a host without the store renews its lease while all replicas follow the primary, and a failover makes them stop receiving before it waits for leases. It skipped a replica that answered busy, did not look at the outcome of the command, and did not ask again: a replica that restarted receives again. Leases were renewed during the wait, and it ended all the same.

Change: a failover counts a replica as held when it says so itself, tries again while none is, and ends its wait when every host obeys the record or a replica that was held for a lease still is. Otherwise it fails and starts again. The term of the command is above that of all replicas and of the last known position, since a lower one has no effect.

--- a/internal/services/failov/steps.go
+++ b/internal/services/failov/steps.go
@@ -46,6 +46,12 @@
 	// clockMargin is added to the lease because hosts' clocks run at different
 	// speeds.
 	clockMargin = 100 * time.Millisecond
+	// holdInterval is the time between two attempts to make a replica stop receiving:
+	// each takes a slot of the instance.
+	holdInterval = 200 * time.Millisecond
+	// holdTimeout bounds the wait for leases: for a replica that can't be stopped from
+	// receiving at first, and for the time of a lease from then on.
+	holdTimeout = 2 * (dbview.Lease + clockMargin)
 	// unregisteredTime is how long after a restore of the store there may be
 	// hosts that hold a lease although the store lost their registration: they
 	// have not noticed the restore, and renew leases by asking the replicas.
@@ -57,6 +63,7 @@
 	errNoCandidate = errors.New("no instance can become the primary")
 	errSuperseded  = errors.New("another host took the failover over")
 	errRestored    = errors.New("the store was restored from an older copy; the failover starts again")
+	errNotHeld     = errors.New("no replica could be stopped from receiving for the time of a lease, while hosts may still use the former primary; the failover starts again")
 	errNotPromoted = errors.New("the instance did not become the primary in time")
 )
 
@@ -78,6 +85,10 @@
 	formerLogEnd logpos.Position
 	// rejected are the instances that the platform refused to promote.
 	rejected map[string]bool
+	// held are the replicas that follow no primary, and since when at the latest.
+	held map[string]time.Duration
+	// nextHold is when replicas that are not held may be asked again.
+	nextHold time.Duration
 }
 
 // replace carries out one failover and logs how it ended.
@@ -116,7 +127,9 @@
 		}
 	}
 	if !a.record.Planned {
-		a.waitOutLeases(ctx)
+		if err := a.waitOutLeases(ctx); err != nil {
+			return err
+		}
 	}
 	for {
 		err := a.installBest(ctx)
@@ -158,6 +171,8 @@
 		return err
 	}
 	a.intentWritten = uptime.Now()
+	a.held = map[string]time.Duration{}
+	a.nextHold = 0
 	a.failover.log("changing the primary", a.service, record, "version", a.version)
 	return nil
 }
@@ -224,7 +239,7 @@
 	if !ok {
 		return false
 	}
-	a.waitForHosts(ctx, a.intentWritten+dbview.Lease+clockMargin)
+	a.waitUntil(ctx, a.intentWritten+dbview.Lease+clockMargin, a.allObey)
 	a.waitUntil(ctx, uptime.Now()+transactionsTimeout, func() bool {
 		return a.failover.Hosts.CountOpenTransactions(a.service) == 0 && !a.view.HasOpenTransactions()
 	})
@@ -268,19 +283,27 @@
 	return status, answered
 }
 
-// waitOutLeases waits until no host can use the former primary any more: each
-// host has applied the record, or its lease has expired. Meanwhile the replicas
-// don't receive, so that no commit reaches them late and no host can renew its
-// lease by asking them.
-func (a *attempt) waitOutLeases(ctx context.Context) {
-	a.pauseReplicas(ctx)
-	ended := uptime.Now() + dbview.Lease + clockMargin
-	waited := uptime.Now()
-	all := a.waitForHosts(ctx, ended)
-	if a.mayHaveUnregistered() {
-		a.waitUntil(ctx, ended, func() bool { return false })
-	}
-	a.failover.log("no host uses the former primary any more", a.service, a.record, "all-hosts-obey", all, "waited", (uptime.Now() - waited).String())
+// waitOutLeases waits until no host can use the former primary any more: each host has
+// applied the record, or leases have expired while a replica did not receive. Without
+// such a replica a host that reaches all of them renews its lease again and again. No
+// replica receives meanwhile if it can be helped, so that no commit reaches one late.
+func (a *attempt) waitOutLeases(ctx context.Context) error {
+	began := uptime.Now()
+	all := false
+	held := false
+	a.waitUntil(ctx, a.intentWritten+holdTimeout, func() bool {
+		if len(a.held) == 0 {
+			a.holdReplicas(ctx, a.failover.candidates(a.service, a.record.FormerPrimary))
+		}
+		all = a.isUnused()
+		held = a.heldForLease(ctx)
+		return all || held
+	})
+	a.failover.log("no host uses the former primary any more", a.service, a.record, "all-hosts-obey", all, "replica-held", held, "waited", (uptime.Now() - began).String())
+	if !all && !held {
+		return errNotHeld
+	}
+	return nil
 }
 
 // mayHaveUnregistered reports whether a host may hold a lease without being
@@ -290,32 +313,90 @@
 	return era > 0 && uptime.Now()-since < unregisteredTime
 }
 
-// pauseReplicas makes the replicas stop receiving.
-func (a *attempt) pauseReplicas(ctx context.Context) {
-	for _, s := range a.failover.candidates(a.service, a.record.FormerPrimary) {
+// holdReplicas tries to make replicas stop receiving, at most once in holdInterval.
+func (a *attempt) holdReplicas(ctx context.Context, list []server.Server) {
+	if uptime.Now() < a.nextHold {
+		return
+	}
+	a.nextHold = uptime.Now() + holdInterval
+	reports := map[string]report.Report{}
+	_, last, _ := a.view.NewestPosition()
+	newest := last.Term
+	for _, s := range list {
 		r, outcome, err := a.failover.Prober.Status(ctx, s)
-		if err == nil && outcome == reply.Done {
-			r, outcome, err = a.failover.Prober.PauseReplication(ctx, s, max(r.Term, r.PausedTerm)+1)
+		if err != nil || outcome != reply.Done {
+			a.logHold(s, r, outcome, err)
+			continue
 		}
-		if err != nil {
-			klog.InfoS("a replica could not be stopped from receiving", "service", a.service, "instance", s.ID, "err", err.Error())
+		reports[s.ID] = r
+		newest = max(newest, r.Term, r.PausedTerm)
+	}
+	for _, s := range list {
+		r, ok := reports[s.ID]
+		switch {
+		case !ok:
 			continue
+		case r.Primary:
+			// An earlier failover promoted it: it follows no other instance.
+			a.held[s.ID] = uptime.Now()
+			continue
+		}
+		r, outcome, err := a.failover.Prober.PauseReplication(ctx, s, newest+1)
+		a.logHold(s, r, outcome, err)
+		if err == nil && outcome == reply.Done && r.PausedTerm > 0 {
+			a.held[s.ID] = uptime.Now()
 		}
-		klog.InfoS("a replica was asked to stop receiving", "service", a.service, "instance", s.ID, "outcome", reply.OutcomeName(outcome), "paused-term", r.PausedTerm, "received", r.Received.String())
 	}
 }
 
-// waitForHosts waits until every registered host has applied the record; false
-// if some have not by limit.
-func (a *attempt) waitForHosts(ctx context.Context, limit time.Duration) bool {
-	return a.waitUntil(ctx, limit, func() bool {
-		for name := range a.failover.Directory.Registered() {
-			if name != a.failover.Host && a.failover.Hosts.FleetVersion(name) < a.version {
-				return false
-			}
+// logHold logs a replica's answer to being stopped from receiving.
+func (a *attempt) logHold(s server.Server, r report.Report, outcome int, err error) {
+	if err != nil {
+		klog.InfoS("a replica could not be stopped from receiving", "service", a.service, "instance", s.ID, "err", err.Error())
+		return
+	}
+	klog.InfoS("a replica was asked to stop receiving", "service", a.service, "instance", s.ID, "outcome", reply.OutcomeName(outcome), "paused-term", r.PausedTerm, "received", r.Received.String())
+}
+
+// heldForLease reports whether some replica has not received for so long that all leases
+// renewed by the replicas have expired. The replica is asked again: one that restarted
+// receives again.
+func (a *attempt) heldForLease(ctx context.Context) bool {
+	for id, since := range a.held {
+		if uptime.Now() < max(since, a.intentWritten)+dbview.Lease+clockMargin {
+			continue
 		}
-		return true
-	})
+		s, ok := a.failover.Directory.Server(id)
+		if !ok {
+			delete(a.held, id)
+			continue
+		}
+		r, outcome, err := a.failover.Prober.Status(ctx, s)
+		if err == nil && outcome == reply.Done && (r.PausedTerm > 0 || r.Primary) {
+			return true
+		}
+		if err == nil && outcome == reply.Done {
+			klog.InfoS("a replica receives again that was told to stop", "service", a.service, "instance", id)
+			delete(a.held, id)
+		}
+	}
+	return false
+}
+
+// isUnused reports whether no host can use the former primary, since each has applied the
+// record.
+func (a *attempt) isUnused() bool {
+	return a.allObey() && !a.mayHaveUnregistered()
+}
+
+// allObey reports whether every registered host has applied the record.
+func (a *attempt) allObey() bool {
+	for name := range a.failover.Directory.Registered() {
+		if name != a.failover.Host && a.failover.Hosts.FleetVersion(name) < a.version {
+			return false
+		}
+	}
+	return true
 }
 
 // waitUntil polls ready until it returns true or limit has passed, and returns
--- a/internal/standin/linedb/linedb.go
+++ b/internal/standin/linedb/linedb.go
@@ -70,6 +70,8 @@
 	down               bool
 	// loseAnswers tells that callers' statements run but are not answered.
 	loseAnswers bool
+	// busy tells that status requests and commands are answered BUSY.
+	busy        bool
 	connections int
 	slots       chan struct{}
 	sessions    map[*session]struct{}
@@ -148,12 +150,14 @@
 	}
 }
 
-// Start restarts a crashed instance with its log.
+// Start restarts a crashed instance with its log. It receives again if it had been told
+// to stop.
 func (g *Group) Start(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	inst := g.instances[id]
 	inst.down = false
+	inst.pausedTerm = 0
 	for _, other := range g.instances {
 		if other.primary && other.term > inst.term {
 			inst.follow(other)
@@ -180,6 +184,13 @@
 	g.instances[id].loseAnswers = lose
 }
 
+// SetBusy makes an instance answer status requests and commands with BUSY.
+func (g *Group) SetBusy(id string, busy bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.instances[id].busy = busy
+}
+
 // Promote makes an instance the primary of the next term after promotionTime,
 // unless it is the primary of the newest term already. It returns false when the
 // instance is down or does not exist.
--- a/internal/standin/linedb/session.go
+++ b/internal/standin/linedb/session.go
@@ -392,6 +392,11 @@
 	term, _ := strconv.ParseUint(rest, 10, 64)
 	g.mu.Lock()
 	inst := s.instance
+	if inst.busy {
+		g.mu.Unlock()
+		s.fail("BUSY")
+		return
+	}
 	switch {
 	case keyword == "PAUSE" && term > g.newestTerm() && !inst.primary:
 		inst.pausedTerm = term
--- /dev/null
+++ b/internal/standin/simenv/pause_test.go
@@ -0,0 +1,87 @@
+package simenv_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/standin/simenv"
+)
+
+// forEachCutLink calls f for the links between hosts 0 and 3 with the primary on one
+// side, and the other hosts with the store on the other. Both reach the replicas.
+func forEachCutLink(f func(from, to string)) {
+	_, primary := simenv.Instance(0)
+	forEachBetween([]string{simenv.HostIP(0), simenv.HostIP(3), primary}, f)
+}
+
+// forEachBetween calls f for the links between a side and the other hosts with the store.
+func forEachBetween(side []string, f func(from, to string)) {
+	rest := []string{"10.200.1.1", "10.200.0.2"}
+	for _, i := range []int{1, 2, 4, 5} {
+		rest = append(rest, simenv.HostIP(i))
+	}
+	for _, a := range side {
+		for _, b := range rest {
+			f(a, b)
+			f(b, a)
+		}
+	}
+}
+
+// countSuperseded writes through a host for some time, and returns how many writes were
+// acknowledged that were sent while another instance than i-1 led.
+func countSuperseded(env *simenv.Environment, host int, length time.Duration) int {
+	n := 0
+	for began := time.Now(); time.Since(began) < length; time.Sleep(20 * time.Millisecond) {
+		superseded := env.Group.Primary() != "i-1"
+		c, _, accepted := env.OpenSession(host, "strict", "key-one")
+		if !accepted {
+			continue
+		}
+		if c.Do("WRITE late x").OK() && superseded {
+			n++
+		}
+		c.Close()
+	}
+	return n
+}
+
+func TestReplicaNotStopped(t *testing.T) {
+	busy := map[string][]string{
+		"all replicas were busy": {"i-2", "i-3"},
+		"one replica was busy":   {"i-3"},
+	}
+	for name, replicas := range busy {
+		t.Run("no write is acknowledged by the former primary after "+name, func(t *testing.T) {
+			runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+				forEachCutLink(env.Net.Cut)
+				defer forEachCutLink(env.Net.Heal)
+				time.Sleep(600 * time.Millisecond)
+				for _, id := range replicas {
+					env.Group.SetBusy(id, true)
+				}
+				time.Sleep(2600 * time.Millisecond)
+				for _, id := range replicas {
+					env.Group.SetBusy(id, false)
+				}
+				is.Equal(countSuperseded(env, 0, 8*time.Second), 0)
+				is.True(env.Group.Primary() != "i-1")
+			})
+		})
+	}
+	t.Run("no write is acknowledged by the former primary after a replica restarted", func(t *testing.T) {
+		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			forEachCutLink(env.Net.Cut)
+			defer forEachCutLink(env.Net.Heal)
+			time.Sleep(2600 * time.Millisecond)
+			for _, id := range []string{"i-2", "i-3"} {
+				env.CrashInstance(id)
+				env.StartInstance(id)
+			}
+			is.Equal(countSuperseded(env, 0, 8*time.Second), 0)
+			is.True(env.Group.Primary() != "i-1")
+		})
+	})
+}
