Let no host read at a primary that has stepped down

Callers of a host that reaches the instances but neither the store nor other hosts read old values on the primary's route after a planned failover, for 2.5 s.

Cause: the holder waited for leases that count from before its record, but did not keep hosts from renewing them by asking the replicas, which receive until the former primary has stepped down. From then on it answers reads as a replica, late.

Change: when hosts have not applied the record after 0.3 s, the replica that received least of several is held for the time of a lease, so that no lease is renewed meanwhile; the others receive the end of the log. With one replica only, the wait follows the step-down, after which the former primary renews no lease.

--- a/internal/services/failov/steps.go
+++ b/internal/services/failov/steps.go
@@ -46,6 +46,9 @@
 	// clockMargin is added to the lease because hosts' clocks run at different
 	// speeds.
 	clockMargin = 100 * time.Millisecond
+	// obeyTimeout is how long a planned failover waits for all hosts to apply the
+	// record before it stops a replica from receiving: several rounds of gossip.
+	obeyTimeout = 300 * time.Millisecond
 	// holdInterval is the time between two attempts to make a replica stop receiving:
 	// each takes a slot of the instance.
 	holdInterval = 200 * time.Millisecond
@@ -239,7 +242,7 @@
 	if !ok {
 		return false
 	}
-	a.waitUntil(ctx, a.intentWritten+dbview.Lease+clockMargin, a.allObey)
+	unused := a.waitUnused(ctx)
 	a.waitUntil(ctx, uptime.Now()+transactionsTimeout, func() bool {
 		return a.failover.Hosts.CountOpenTransactions(a.service) == 0 && !a.view.HasOpenTransactions()
 	})
@@ -251,6 +254,11 @@
 	if err != nil || outcome != reply.Done || after.Primary {
 		return false
 	}
+	if !unused {
+		// It renews no lease any more, and reads there may be stale until the last
+		// one has expired.
+		a.waitUntil(ctx, uptime.Now()+dbview.Lease+clockMargin, a.isUnused)
+	}
 	a.formerLogEnd = after.Received
 	caught := a.waitUntil(ctx, uptime.Now()+catchUpTimeout, func() bool {
 		best, ok := a.bestCandidate(ctx)
@@ -260,6 +268,45 @@
 	return true
 }
 
+// waitUnused waits until no host uses the former primary: each has applied the record, or
+// leases have expired while one of several replicas did not receive. It returns false
+// if leases may still be renewed by the replicas, all of which receive.
+func (a *attempt) waitUnused(ctx context.Context) bool {
+	if a.waitUntil(ctx, a.intentWritten+obeyTimeout, a.isUnused) {
+		return true
+	}
+	spare := a.spareReplica(ctx)
+	return a.waitUntil(ctx, uptime.Now()+dbview.Lease+2*clockMargin, func() bool {
+		if len(a.held) == 0 {
+			a.holdReplicas(ctx, spare)
+		}
+		return a.isUnused() || a.heldForLease(ctx)
+	})
+}
+
+// spareReplica returns the replica that received least as a list of one; empty if fewer
+// than two replicas answer, since one has to receive the whole log.
+func (a *attempt) spareReplica(ctx context.Context) []server.Server {
+	var spare []server.Server
+	var least logpos.Position
+	answered := 0
+	for _, s := range a.failover.candidates(a.service, a.record.FormerPrimary) {
+		r, outcome, err := a.failover.Prober.Status(ctx, s)
+		if err != nil || outcome != reply.Done || r.Primary {
+			continue
+		}
+		answered++
+		if answered == 1 || least.Newer(r.Received) {
+			least = r.Received
+			spare = []server.Server{s}
+		}
+	}
+	if answered < 2 {
+		return nil
+	}
+	return spare
+}
+
 // waitReplicated waits until a replica has received the whole log of the former
 // primary, which still leads: commits that it has not sent yet may be lost when it
 // steps down. It returns the former primary's last status; false if it did not answer.
--- a/internal/standin/simenv/pause_test.go
+++ b/internal/standin/simenv/pause_test.go
@@ -1,6 +1,8 @@
 package simenv_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +18,12 @@
 	forEachBetween([]string{simenv.HostIP(0), simenv.HostIP(3), primary}, f)
 }
 
+// forEachHostsLink calls f for the links between hosts 0 and 3 on one side, and the other
+// hosts with the store on the other. Both reach all instances.
+func forEachHostsLink(f func(from, to string)) {
+	forEachBetween([]string{simenv.HostIP(0), simenv.HostIP(3)}, f)
+}
+
 // forEachBetween calls f for the links between a side and the other hosts with the store.
 func forEachBetween(side []string, f func(from, to string)) {
 	rest := []string{"10.200.1.1", "10.200.0.2"}
@@ -85,3 +93,33 @@
 		})
 	})
 }
+
+func TestReadAfterStepDown(t *testing.T) {
+	t.Run("a host that no other reaches reads nothing stale from the former primary", func(t *testing.T) {
+		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			env.Group.SetTimes(100*time.Millisecond, time.Millisecond)
+			forEachHostsLink(env.Net.Cut)
+			defer forEachHostsLink(env.Net.Heal)
+			time.Sleep(2 * time.Second)
+			env.DrainInstance("i-1")
+			stale := 0
+			for i := range 300 {
+				writer, _, accepted := env.OpenSession(1, "strict", "key-one")
+				is.True(accepted)
+				value := fmt.Sprint(i)
+				written := writer.Do("WRITE counter " + value).OK()
+				writer.Close()
+				reader, _, accepted := env.OpenSession(0, "strict", "key-one")
+				is.True(accepted)
+				a := reader.Do("READ counter")
+				reader.Close()
+				if written && a.OK() && !slices.Equal(a.Rows, []string{value}) {
+					stale++
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			is.True(env.Group.Primary() != "i-1")
+			is.Equal(stale, 0)
+		})
+	})
+}
