Read the fleet table at once if the first copy is from before the start

A host that had just started refused writes for up to half a second, since it counts leases only from after its start and the others' copies get that young at the end of a long poll.

TestPowerLost/a host that starts again runs writes within the shortest deadline failed before.

--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -73,6 +73,8 @@
 	// names maps the mirror's table names to the store's.
 	names  map[string]string
 	tables map[string]*table
+	// started is when this host's process started.
+	started time.Duration
 
 	mu      sync.Mutex
 	current atomic.Pointer[snapshot]
@@ -152,6 +154,7 @@
 			Fleet:     Fleet,
 		},
 		tables:   map[string]*table{},
+		started:  uptime.Now(),
 		changed:  make(chan struct{}),
 		passedOn: map[rowID]tuple.Tuple{},
 	}
--- a/internal/services/mirror/refresh.go
+++ b/internal/services/mirror/refresh.go
@@ -150,14 +150,24 @@
 // mustRead reports whether this host reads a table from the store itself. A host that
 // has just started waits for other hosts' copies first: when a whole fleet starts, all
 // its hosts would take themselves for readers, again and again while the others
-// register.
+// register. A copy of Fleet from before the start is read anew, since no lease counts
+// from it.
 func (m *Mirror) mustRead(name string) bool {
+	if name == Fleet && m.isFromBeforeStart(name) {
+		return true
+	}
 	if m.ranker.Joining() {
 		return false
 	}
 	return m.ranker.Rank(readersDuty) < readerCount || m.Age(name) >= refreshPolicies[name].staleAfter
 }
 
+// isFromBeforeStart reports whether the copy of a table is older than this process.
+func (m *Mirror) isFromBeforeStart(name string) bool {
+	asOf := m.AsOf(name)
+	return asOf > 0 && asOf < m.started
+}
+
 // emptyTablePause returns the least pause before the next read: longer for a table
 // without any version yet, which can't be long-polled.
 func (m *Mirror) emptyTablePause(name string) time.Duration {
@@ -174,7 +184,7 @@
 	p := refreshPolicies[name]
 	version := m.Version(name)
 	asOf := uptime.Now()
-	if version == 0 || p.longPoll == 0 {
+	if version == 0 || p.longPoll == 0 || m.isFromBeforeStart(name) {
 		return m.read(ctx, name)
 	}
 	rows, newest, err := m.source.Watch(ctx, m.names[name], version, p.longPoll)
--- a/internal/standin/simenv/restart_test.go
+++ b/internal/standin/simenv/restart_test.go
@@ -10,6 +10,9 @@
 	"wasabislip.example/wasabislip/internal/standin/simenv"
 )
 
+// shortestDeadline is that of the callers' most urgent statements.
+const shortestDeadline = 600 * time.Millisecond
+
 // readLoad counts the results of reads that are sent at a constant rate.
 type readLoad struct {
 	mu      sync.Mutex
@@ -78,4 +81,17 @@
 			is.True(a.served*100 >= a.sent*95)
 		})
 	})
+	// Guards against a host that uses no primary until another host's copy of the
+	// store shows a moment after its start.
+	t.Run("a host that starts again runs writes within the shortest deadline", func(t *testing.T) {
+		runScript(t, 9, func(is *is.I, env *simenv.Environment) {
+			for i := range 10 {
+				time.Sleep(time.Duration(i*53) * time.Millisecond)
+				env.PowerOff(8)
+				time.Sleep(500 * time.Millisecond)
+				env.StartHost(8)
+				is.True(writeUntil(is, env, 8, 5*time.Second) < shortestDeadline)
+			}
+		})
+	})
 }
