Turn ages from other hosts into moments in one place

Ages of tables, reports and renewals from other hosts were multiplied into durations in four places, one of them with a guard. An impossible age overflows to a moment in the future, so a lease without end, had a broken host sent one. uptime.Before gives never for what the clock cannot tell.

--- a/internal/modules/uptime/uptime.go
+++ b/internal/modules/uptime/uptime.go
@@ -26,6 +26,15 @@
 	return origin + time.Since(started) + suspendedTime() - suspendedAtStart
 }
 
+// Before returns the moment that lies age milliseconds before since, as another host
+// tells it. It returns zero, which stands for never, for ages beyond origin.
+func Before(since time.Duration, age uint64) time.Duration {
+	if age >= uint64(max(0, since)/time.Millisecond) {
+		return 0
+	}
+	return since - time.Duration(age)*time.Millisecond
+}
+
 // Restart sets the clock back to origin. A simulated environment that runs hosts
 // under a fake test clock calls it first, since that clock begins at another time.
 func Restart() {
--- a/internal/services/gossip/pack.go
+++ b/internal/services/gossip/pack.go
@@ -166,7 +166,7 @@
 		klog.InfoS("the reports of hosts from another host can't be read", "err", err.Error())
 		return
 	}
-	g.mergeHosts(packed.GetHosts(), since-time.Duration(k.GetPackedAgeMs())*time.Millisecond)
+	g.mergeHosts(packed.GetHosts(), uptime.Before(since, k.GetPackedAgeMs()))
 }
 
 // readers are decompressors for reuse: each takes tens of kilobytes.
--- a/internal/services/gossip/report.go
+++ b/internal/services/gossip/report.go
@@ -122,9 +122,9 @@
 			continue
 		}
 		if r.GetAgeMs() > uint64(forgetAfter/time.Millisecond) {
-			continue // as good as forgotten; a larger age would overflow
+			continue // as good as forgotten
 		}
-		heard := since - time.Duration(r.GetAgeMs())*time.Millisecond
+		heard := uptime.Before(since, r.GetAgeMs())
 		p, ok := g.hosts[r.GetName()]
 		if !ok {
 			p = &peer{}
--- a/internal/services/gossip/tables.go
+++ b/internal/services/gossip/tables.go
@@ -168,7 +168,7 @@
 		if !isKnownTable(t.GetName()) || t.GetVersion() == 0 {
 			continue
 		}
-		asOf := asked - time.Duration(t.GetAgeMs())*time.Millisecond
+		asOf := uptime.Before(asked, t.GetAgeMs())
 		if !t.GetFull() {
 			g.mirror.Confirm(t.GetName(), t.GetDigest(), t.GetVersion(), asOf)
 			continue
--- a/internal/services/views/views.go
+++ b/internal/services/views/views.go
@@ -146,7 +146,7 @@
 	if age == 0 {
 		return 0
 	}
-	return since - time.Duration(age)*time.Millisecond
+	return uptime.Before(since, age)
 }
 
 // UnreachableServices returns the services whose primary this host has failed to
