Let no host open an era before it has a copy of the store

TestStartWhileStoreIsBusy failed. The era and since when it is known are now read once for the decision and the write, and a host that has no copy decides nothing.

--- a/internal/services/eras/eras.go
+++ b/internal/services/eras/eras.go
@@ -103,15 +103,16 @@
 			return
 		case <-t.C:
 		}
-		if open, _ := k.Directory.EraOpen(); open {
-			continue
+		era, since := k.Directory.EraSince(mirror.Fleet)
+		if open, _ := k.Directory.EraOpen(); open || since == 0 {
+			continue // or there is no copy of the table yet
 		}
 		if lost := k.Directory.LostLeaders(); len(lost) > 0 {
 			k.bringBack(ctx, lost)
 			continue
 		}
-		if k.mayOpen() {
-			k.open(ctx)
+		if k.mayOpen(era, since) {
+			k.open(ctx, era)
 		}
 	}
 }
@@ -169,10 +170,9 @@
 	return err
 }
 
-// mayOpen reports whether this host is to open the era now: the other live hosts have
-// seen it and brought back the records that they know.
-func (k *Keeper) mayOpen() bool {
-	era, since := k.Directory.EraSince(mirror.Fleet)
+// mayOpen reports whether this host is to open an era now that it has seen since: the
+// other live hosts have seen it and brought back the records that they know.
+func (k *Keeper) mayOpen(era uint64, since time.Duration) bool {
 	known := uptime.Now() - since
 	delay := time.Duration(k.Hosts.Rank("era")) * rankDelay
 	if known < openAfter+delay {
@@ -190,7 +190,7 @@
 }
 
 // open checks each service's record against its instances, and opens the era.
-func (k *Keeper) open(ctx context.Context) {
+func (k *Keeper) open(ctx context.Context, era uint64) {
 	var checks conc.WaitGroup
 	for _, service := range k.Directory.Services() {
 		checks.Go(func() {
@@ -200,7 +200,9 @@
 		})
 	}
 	checks.Wait()
-	era, _ := k.Directory.EraSince(mirror.Fleet)
+	if now, _ := k.Directory.EraSince(mirror.Fleet); now != era {
+		return // restored once more
+	}
 	value, err := json.Marshal(map[string]string{"host": k.Host})
 	if err != nil {
 		klog.ErrorS(err, "the row of an era can't be encoded")
--- a/internal/standin/simenv/start_test.go
+++ b/internal/standin/simenv/start_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"wasabislip.example/wasabislip/internal/standin/rowsrv"
 	"wasabislip.example/wasabislip/internal/standin/simenv"
 )
 
@@ -78,3 +80,27 @@
 		})
 	})
 }
+
+func TestStartWhileStoreIsBusy(t *testing.T) {
+	t.Run("hosts without a copy of the store open no era", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			env := simenv.New()
+			defer env.Close()
+			writes := 0
+			env.Store.SetFault(func(_ string, write bool) string {
+				if write {
+					writes++
+					return ""
+				}
+				return rowsrv.Busy
+			})
+			for i := range 6 {
+				env.StartHost(i)
+			}
+			time.Sleep(4 * time.Second)
+			is.Equal(writes, 0)
+			is.Equal(len(env.Store.Get("wasabislip", "era-0")), 0)
+		})
+	})
+}
