--- a/internal/services/gossip/join.go
+++ b/internal/services/gossip/join.go
@@ -19,7 +19,7 @@
 	joinInterval = 80 * time.Millisecond
 	// startInterval is the mean time between two exchanges of a host that has just
 	// started and has copies: it has yet to hear of the other hosts, and others of it.
-	startInterval = 150 * time.Millisecond
+	startInterval = 110 * time.Millisecond
 	// firstCopiesTimeout bounds how long an answer waits for this host's first
 	// copies. It is shorter than exchangeTimeout.
 	firstCopiesTimeout = 350 * time.Millisecond
