Renew no lease by the replicas when none is known

A host whose copy of the instances lacks all replicas, since their entries had lapsed, took the primary's own word for the proof that no replica was promoted.

Left: a host that knows some of the replicas only, while a failover could hold only others.

--- a/internal/services/poller/poller.go
+++ b/internal/services/poller/poller.go
@@ -164,16 +164,21 @@
 	if err != nil || outcome != reply.Done || !lead.Primary {
 		return
 	}
+	replicas := 0
 	for _, s := range p.directory.Servers(v.Service()) {
 		if s.ID == primary.ID {
 			continue
 		}
+		replicas++
 		r, outcome, err := p.prober.Status(ctx, s)
 		if err != nil || outcome != reply.Done || !follows(r, lead) {
 			klog.V(1).InfoS("the lease was not renewed: a replica did not answer or does not follow the primary", "service", v.Service(), "primary", primary.ID, "replica", s.ID)
 			return
 		}
 	}
+	if replicas == 0 {
+		return // the copy of the table lacks those that may have been promoted
+	}
 	v.RenewLease(primary.ID, asked)
 	p.hosts.PushNow()
 }
--- a/internal/standin/simenv/pause_test.go
+++ b/internal/standin/simenv/pause_test.go
@@ -123,3 +123,20 @@
 		})
 	})
 }
+
+func TestUnknownReplicas(t *testing.T) {
+	t.Run("a host whose copy lacks the replicas does not use the former primary", func(t *testing.T) {
+		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			env.ExpireHeartbeat("i-2")
+			env.ExpireHeartbeat("i-3")
+			time.Sleep(9 * time.Second)
+			forEachCutLink(env.Net.Cut)
+			defer forEachCutLink(env.Net.Heal)
+			time.Sleep(100 * time.Millisecond)
+			env.ResumeHeartbeat("i-2")
+			env.ResumeHeartbeat("i-3")
+			is.Equal(countSuperseded(env, 0, 12*time.Second), 0)
+			is.True(env.Group.Primary() != "i-1")
+		})
+	})
+}
