End a handover with the lease from the store

A host that saw the record of a planned failover and was then cut off acknowledged commits at the former primary for ever, also after the planned failover had been given up and another instance was promoted without the former primary's consent. The holder waits for the time of a lease before that, so a handover ends with the lease from the store.

TestHandoverEnds failed: a commit one second after the promotion was acknowledged.

--- a/internal/services/dbview/dbview.go
+++ b/internal/services/dbview/dbview.go
@@ -256,10 +256,16 @@
 }
 
 // Handover reports whether id is being replaced in a planned failover. What it
-// still acknowledges is not lost, since it stops before its successor starts.
+// still acknowledges is not lost, since it stops before its successor starts. It ends
+// with the lease from the store: the failover may have gone on without id's consent.
 func (v *View) Handover(id string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	since, until, ok := v.registry.Registered()
+	asOf := min(v.tables.LeasesAsOf(), until)
+	if !ok || asOf < since || uptime.Now()-asOf >= Lease {
+		return false
+	}
 	l, _ := v.leader()
 	return l.Phase == leader.Changing && l.Planned && l.FormerPrimary == id
 }
--- a/internal/standin/simenv/pause_test.go
+++ b/internal/standin/simenv/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -140,3 +141,40 @@
 		})
 	})
 }
+
+func TestHandoverEnds(t *testing.T) {
+	t.Run("a commit is not acknowledged by a handover that was given up", func(t *testing.T) {
+		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			c, _, accepted := env.OpenSession(0, "strict", "key-one")
+			is.True(accepted)
+			is.True(c.Do("BEGIN").OK())
+			is.True(c.Do("WRITE late x").OK())
+			env.DrainInstance("i-1")
+			for range 400 {
+				if strings.Contains(string(env.Store.Get("wasabislip", "leader-ledger")), "changing") {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(150 * time.Millisecond)
+			forEachCutLink(env.Net.Cut)
+			defer forEachCutLink(env.Net.Heal)
+			// The open transaction is kept from being idle until another instance leads.
+			for began := time.Now(); time.Since(began) < 15*time.Second && env.Group.Primary() == "i-1"; {
+				if !c.Do("READ other").OK() {
+					break
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+			for range 50 {
+				if env.Group.Primary() != "i-1" {
+					break
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+			time.Sleep(time.Second)
+			is.True(env.Group.Primary() != "i-1")
+			is.True(!c.Do("COMMIT").OK())
+		})
+	})
+}
