Give up primaries before the registration may have been removed

A host that reaches the instances but neither the store nor other hosts renewed its lease by the replicas without end. Found by review.

Cause: the time until a registration is removed was set against leases from the store only. A host now counts leases of either kind only up to the moment from which on its row may have been suspended: 8 s after it last heard of more than half of the hosts, or its newest copy that shows the row in force. For that, a host that hears of less than half suspends nobody, where it did so after two minutes. An outage of the store alone ends nothing: the hosts hear of each other.

TestRemovedHost failed before and passes now; its second part plays an outage of 3 minutes.

--- a/internal/services/enroll/enroll.go
+++ b/internal/services/enroll/enroll.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -36,6 +35,12 @@
 	// time is doubled, up to maxSuspendAfter.
 	suspendAfter    = 10 * time.Second
 	maxSuspendAfter = 2 * time.Minute
+	// reportDelay is how much later than this host's last exchange with others its
+	// report may reach the host that expires registrations.
+	reportDelay = 2 * time.Second
+	// clockMargin is how much sooner a use of the registration ends, because hosts'
+	// clocks run at different speeds.
+	clockMargin = 100 * time.Millisecond
 	// maxExpired is how many registrations are suspended or removed at one check.
 	maxExpired = 4
 	// censusDuty is the name under which hosts are ranked for expiring
@@ -81,6 +86,9 @@
 	registeredSince time.Duration
 	registeredAsOf  time.Duration
 	registered      bool
+	// heardMajority is when this host last heard of more than half of the registered
+	// hosts.
+	heardMajority time.Duration
 
 	// silent are the registered hosts that are silent.
 	silent map[string]*silence
@@ -109,10 +117,12 @@
 }
 
 // Registered returns since when and until when this host is known to be registered; ok
-// is false if it is not registered. While its registration is suspended, until stays
-// where it is: the suspension came later, and the registration is not removed before
-// all leases that count from until have expired. A process is not registered before its
-// start: what the host's former process reported may have ended the wait of a failover.
+// is false if it is not registered. A process is not registered before its start: what
+// the host's former process reported may have ended the wait of a failover.
+//
+// No lease that counts from until or earlier outlasts the registration. While it is
+// suspended, until stays where it is. Otherwise a host that hears half of the others
+// may suspend it only after this host has been silent for suspendAfter.
 func (r *Registrar) Registered() (since, until time.Duration, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -129,19 +139,25 @@
 		r.registeredAsOf = r.directory.AsOf(mirror.Fleet)
 		r.registeredSince = max(r.started, r.registeredAsOf)
 	}
-	return r.registeredSince, math.MaxInt64, true
+	suspended := max(r.registeredAsOf, r.heardMajority+suspendAfter-reportDelay)
+	return r.registeredSince, suspended + removeAfter - dbview.Lease - clockMargin, true
 }
 
 // isInForce reports whether this host is registered and not suspended. asOf is the
 // as-of time of the copy some time ago.
 func (r *Registrar) isInForce(asOf time.Duration) bool {
-	_, until, ok := r.Registered()
-	if !ok || until != math.MaxInt64 {
+	_, _, ok := r.Registered()
+	registered := r.directory.Registered()
+	if !ok || registered[r.self.Name].State == host.Suspect {
 		return false
 	}
+	majority := 2*(len(r.fleet.Alive())+1) > len(registered)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.registeredAsOf = max(r.registeredAsOf, asOf)
+	if majority {
+		r.heardMajority = uptime.Now()
+	}
 	return true
 }
 
@@ -213,8 +229,8 @@
 }
 
 // dueHosts returns the registered hosts whose registration is to be suspended or
-// removed. Hosts that do not hear of a majority are more likely cut off themselves,
-// and wait for long.
+// removed. A host that hears of less than half suspends none: the others may use
+// primaries by what the replicas tell them, while they hear of each other.
 func (r *Registrar) dueHosts() []host.Host {
 	now := uptime.Now()
 	registered := r.directory.Registered()
@@ -243,7 +259,7 @@
 		case h.State == host.Suspect:
 			limit = removeAfter
 		case minority:
-			limit = maxSuspendAfter
+			continue
 		}
 		if now-q.since > limit {
 			due = append(due, h)
--- a/internal/standin/simenv/pause_test.go
+++ b/internal/standin/simenv/pause_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"wasabislip.example/wasabislip/internal/standin/rowsrv"
 	"wasabislip.example/wasabislip/internal/standin/simenv"
 )
 
@@ -178,3 +179,28 @@
 		})
 	})
 }
+
+func TestRemovedHost(t *testing.T) {
+	// Its own copy of the fleet table, which nothing renews, still shows it.
+	t.Run("a host whose registration was removed does not use the former primary", func(t *testing.T) {
+		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			forEachHostsLink(env.Net.Cut)
+			defer forEachHostsLink(env.Net.Heal)
+			time.Sleep(30 * time.Second)
+			forEachCutLink(env.Net.Cut)
+			defer forEachCutLink(env.Net.Heal)
+			is.Equal(countSuperseded(env, 0, 8*time.Second), 0)
+			is.True(env.Group.Primary() != "i-1")
+		})
+	})
+	t.Run("hosts that hear of each other use the primary through a long outage of the store", func(t *testing.T) {
+		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			env.Store.SetFault(func(string, bool) string {
+				return rowsrv.Silent
+			})
+			time.Sleep(3 * time.Minute)
+			is.True(writeUntil(is, env, 0, time.Second) < time.Second)
+			is.True(writeUntil(is, env, 5, time.Second) < time.Second)
+		})
+	})
+}
