Promote no former primary of an earlier term that still says it leads

With a synchronous replica, 20 acknowledged writes were lost: the primary in force crashed, and the one before it, which had been cut off and reached no instance of the new term yet, answered as primary. A candidate that said so was preferred whatever its term, in about half of the cases by the order of a map, and counted as promoted before the platform had done it.

A primary is preferred only by a higher term, and is taken for promoted once its term is above its own before, unless it led the newest one.

--- a/internal/services/failov/steps.go
+++ b/internal/services/failov/steps.go
@@ -90,6 +90,8 @@
 	rejected map[string]bool
 	// held are the replicas that follow no primary, and since when at the latest.
 	held map[string]time.Duration
+	// newestTerm is the highest term that a replica reported.
+	newestTerm uint64
 	// nextHold is when replicas that are not held may be asked again.
 	nextHold time.Duration
 }
@@ -464,6 +466,21 @@
 	report report.Report
 }
 
+// isBetter reports whether the candidate is to be promoted rather than another one: a
+// primary of a higher term, which an earlier failover promoted, or else the one that
+// received more.
+func (c candidate) isBetter(other candidate) bool {
+	switch {
+	case c.report.Primary && c.report.Term > other.report.Term:
+		return true
+	case other.report.Primary && other.report.Term > c.report.Term:
+		return false
+	case c.report.Term == other.report.Term && c.report.Primary != other.report.Primary:
+		return c.report.Primary
+	}
+	return c.report.Received.Newer(other.report.Received)
+}
+
 // bestCandidate returns the candidate that received most of the log. It returns
 // false unless so many replicas answered that one of them holds every
 // acknowledged commit, or the candidate holds all of the log of a former primary
@@ -478,14 +495,16 @@
 			continue
 		}
 		answered++
+		a.newestTerm = max(a.newestTerm, r.Term)
 		if a.rejected[s.ID] {
 			continue
 		}
-		if !found || r.Primary && !best.report.Primary || r.Received.Newer(best.report.Received) {
-			best = candidate{
-				server: s,
-				report: r,
-			}
+		c := candidate{
+			server: s,
+			report: r,
+		}
+		if !found || c.isBetter(best) {
+			best = c
 			found = true
 		}
 	}
@@ -520,8 +539,10 @@
 }
 
 // waitPromoted tells the platform to promote the instance, again and again,
-// until the instance answers that it is the primary.
+// until the instance answers that it is the primary of a new term, unless it led the
+// newest one before.
 func (a *attempt) waitPromoted(ctx context.Context, chosen candidate) error {
+	leads := chosen.report.Primary && chosen.report.Term >= a.newestTerm
 	limit := uptime.Now() + promoteTimeout
 	ordered := time.Duration(-1)
 	for uptime.Now() < limit && ctx.Err() == nil {
@@ -532,7 +553,7 @@
 			}
 		}
 		r, outcome, err := a.failover.Prober.Status(ctx, chosen.server)
-		if err == nil && outcome == reply.Done && r.Primary {
+		if err == nil && outcome == reply.Done && r.Primary && (leads || r.Term > chosen.report.Term) {
 			return nil
 		}
 		time.Sleep(pollInterval)
