Order no promotion after another host may have taken the failover over

The time for a promotion counted from after the choice was written and read back, each up to 1.5 s, and the record was not looked at again: on a slow store an order could go out with a token lower than one of the host that had taken over 5 s after the choice. It counts from before the write now, and ends when the record has changed.

--- a/internal/services/failov/steps.go
+++ b/internal/services/failov/steps.go
@@ -38,7 +38,8 @@
 	// primary steps down, for a replica to receive its log. Replicas are
 	// usually some milliseconds behind.
 	replicateTimeout = 500 * time.Millisecond
-	// promoteTimeout bounds a promotion, which takes about a second.
+	// promoteTimeout bounds a promotion, which takes about a second, and the writing of
+	// the choice before it. With callTimeout it is shorter than abandonedTimeout.
 	promoteTimeout = 4 * time.Second
 	// promoteRetryInterval is the time after which the platform is told again
 	// to promote the instance.
@@ -576,10 +577,13 @@
 	record := a.record
 	record.Primary = chosen.server.ID
 	record.LogEnd = chosen.report.Received
+	// Other hosts see the record from now on at the earliest, and take the failover over
+	// once it has stayed as it is for abandonedTimeout.
+	limit := uptime.Now() + promoteTimeout
 	if err := a.writeRecord(ctx, record, a.version); err != nil {
 		return err
 	}
-	if err := a.waitPromoted(ctx, chosen); err != nil {
+	if err := a.waitPromoted(ctx, chosen, limit); err != nil {
 		return err
 	}
 	record.Phase = leader.Settled
@@ -592,16 +596,18 @@
 // waitPromoted tells the platform to promote the instance, again and again,
 // until the instance answers that it is the primary of a new term, unless it led the
 // newest one before. Each order needs what the wait for leases found: a replica may
-// have restarted since.
-func (a *attempt) waitPromoted(ctx context.Context, chosen candidate) error {
+// have restarted since, and another host may have taken the failover over.
+func (a *attempt) waitPromoted(ctx context.Context, chosen candidate, limit time.Duration) error {
 	leads := chosen.report.Primary && chosen.report.Term >= a.newestTerm
-	limit := uptime.Now() + promoteTimeout
 	ordered := time.Duration(-1)
 	for uptime.Now() < limit && ctx.Err() == nil {
 		if ordered < 0 || uptime.Now()-ordered > promoteRetryInterval {
 			if !a.formerStopped && !a.isUnused() && !a.heldForLease(ctx) {
 				return errNotHeld
 			}
+			if _, version, _ := a.failover.Directory.Leader(a.service); version != a.version {
+				return errSuperseded
+			}
 			ordered = uptime.Now()
 			if err := a.orderPromotion(ctx, chosen.server.ID); err != nil {
 				return err
