Handle stop signals from the settings to the last log line

A host that got SIGTERM while it read its settings, or a second one while it wrote its last log lines, was killed by the signal instead of ending with 0.

Cause: the handler was installed after the settings were read, and removed before the log was closed. A signal before the program's main function still ends the process.

--- a/cmd/wasabislip/edge.go
+++ b/cmd/wasabislip/edge.go
@@ -40,6 +40,9 @@
 // runEdge runs the host until SIGTERM or SIGINT, and then lets running requests
 // finish before it stops.
 func runEdge(ctx context.Context, cmd *cli.Command) error {
+	// The signals stay handled until the process ends: one that comes while the
+	// settings are read or the last log lines are written must not kill it.
+	ctx, _ = signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	path := cmd.String("settings")
 	settings, err := conf.Load(path)
 	if err != nil {
@@ -48,8 +51,6 @@
 	log := jlog.New(os.Stdout)
 	defer log.Close()
 	log.Install()
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	go reloadOnHangup(path, settings)
 	network := inet.New()
 	h := &edge.Host{
