Count a caller that is accepted while the listener closes

A host could end its process with a statement read and not answered: a caller whose connection was accepted just before the listener was closed joined the sessions after the stop had found none left, and served on until the process ended. A stop also read a session's fields while its start-up was being handled.

Now a stop waits for the end of the accepting part, and the session is set under its lock.

--- a/internal/routers/edge/caller.go
+++ b/internal/routers/edge/caller.go
@@ -53,8 +53,9 @@
 	rollBack bool
 }
 
-// accept serves callers until the listener is closed.
+// accept serves callers until the listener is closed. It then closes callersDone.
 func (h *Host) accept(ctx context.Context, l net.Listener) {
+	defer close(h.callersDone)
 	for {
 		conn, err := l.Accept()
 		if isClosed(err) {
@@ -126,7 +127,7 @@
 		c.logLost(err)
 		return false
 	}
-	c.session = &sess.Session{
+	session := &sess.Session{
 		Config:      c.host.mirror,
 		Views:       c.host.views,
 		Forwarder:   c.host.forwarder,
@@ -137,9 +138,12 @@
 		Database:    database,
 		Key:         key,
 	}
+	c.mu.Lock()
+	c.session = session
+	c.mu.Unlock()
 	c.host.awaitConfig()
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if r := c.session.Authorize(); r.Outcome != reply.Done {
+	if r := session.Authorize(); r.Outcome != reply.Done {
 		_ = c.conn.Reject(&r) // the caller may be gone; nothing ran
 		return false
 	}
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -144,6 +144,8 @@
 	tasks      *tasks.Server
 	requestLog *reqlog.Logger
 	stats      *stats.Stats
+	// callersDone is closed once no caller is accepted any more.
+	callersDone chan struct{}
 
 	mu       sync.Mutex
 	sessions map[*caller]struct{}
@@ -237,6 +239,7 @@
 func (h *Host) build() {
 	h.started = time.Now()
 	h.sessions = map[*caller]struct{}{}
+	h.callersDone = make(chan struct{})
 	self := host.Host{
 		Name:        h.Settings.Host,
 		Address:     h.Settings.PeerAddress,
--- a/internal/routers/edge/stop.go
+++ b/internal/routers/edge/stop.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		if now.After(at(idleCloseEnd)) {
-			_ = l.callers.Close() // a second close is harmless
+			h.closeCallers(l)
 		}
 		progress := float64(now.Sub(at(idleCloseStart))) / float64(at(idleCloseEnd).Sub(at(idleCloseStart)))
 		left := h.endSessions(progress, now.After(at(rollBackAt)))
@@ -57,7 +57,7 @@
 			break
 		}
 	}
-	_ = l.callers.Close() // a second close is harmless
+	h.closeCallers(l)
 	h.registrar.Deregister(ctx)
 	_ = l.ready.Close() // the process ends
 	_ = l.peers.Close()
@@ -66,6 +66,13 @@
 	h.tasks.Close()
 }
 
+// closeCallers closes the listener for callers and waits until the callers that it
+// accepted are among the sessions.
+func (h *Host) closeCallers(l *listeners) {
+	_ = l.callers.Close() // a second close is harmless
+	<-h.callersDone
+}
+
 // ticks yields the present time every stopPoll until end.
 func ticks(ctx context.Context, end time.Time) func(yield func(time.Time) bool) {
 	return func(yield func(time.Time) bool) {
