Take back a registration that is written during a stop, within the grace period

A host that was stopped while it started could leave its registration behind, and one with half of a statement in a caller's connection and a silent store stopped after 7.05 s, with 6 s of grace. A failover waits 2.5 s for the lease of a host whose registration stands; the platform kills a host that is not gone after its grace period.

Cause: the registrar went on during the removal, which named the version of a copy that did not hold the row yet; and the removal's 1.5 s began at 0.92 of the grace period. Now a host that leaves does not register any more, waits for a write under way, reads the table again if its copy may be older than its last write or the store refused, and gives up at 0.98 of the period. In the calm, a stop makes one call as before.

simenv TestStopDuringStart stops a host 0 to 1.3 s after its start, with a store that answers, is busy, is silent, loses the answers to writes or is late, and with callers from before it listens: it stops in time, answers what it has read, recovers no panic and has no registration.

--- a/internal/routers/edge/stop.go
+++ b/internal/routers/edge/stop.go
@@ -20,6 +20,8 @@
 	rollBackAt = 0.52
 	// cutOffAt is when the sessions that are left are cut off.
 	cutOffAt = 0.92
+	// deregisterUntil is when the host gives up the removal of its registration.
+	deregisterUntil = 0.98
 	// stopPoll is the time between two checks during a stop.
 	stopPoll = 50 * time.Millisecond
 )
@@ -58,7 +60,9 @@
 		}
 	}
 	h.closeCallers(l)
-	h.registrar.Deregister(ctx)
+	deregister, cancel := context.WithDeadline(ctx, at(deregisterUntil))
+	defer cancel()
+	h.registrar.Deregister(deregister)
 	_ = l.ready.Close() // the process ends
 	_ = l.peers.Close()
 	_ = l.metrics.Close()
--- a/internal/services/enroll/enroll.go
+++ b/internal/services/enroll/enroll.go
@@ -36,6 +36,10 @@
 	// time is doubled, up to maxSuspendAfter.
 	suspendAfter    = 10 * time.Second
 	maxSuspendAfter = 2 * time.Minute
+	// deregisterTimeout bounds the removal of this host's own registration, and
+	// maxDeletes how often that is tried.
+	deregisterTimeout = 1500 * time.Millisecond
+	maxDeletes        = 3
 	// maxExpired is how many registrations are suspended or removed at one check.
 	maxExpired = 4
 	// censusDuty is the name under which hosts are ranked for expiring
@@ -84,6 +88,11 @@
 	silent map[string]*silence
 	// nextAttempt is when the host may try to register again.
 	nextAttempt time.Duration
+	// leaving says that the host must not register any more. writing holds an element
+	// while the host's own row is being written, and lastWrite is when that last ended.
+	leaving   bool
+	writing   chan struct{}
+	lastWrite time.Duration
 }
 
 // silence is that of a registered host.
@@ -102,6 +111,7 @@
 		store:     w,
 		fleet:     f,
 		silent:    map[string]*silence{},
+		writing:   make(chan struct{}, 1),
 	}
 }
 
@@ -172,7 +182,10 @@
 	r.nextAttempt = uptime.Now() + retryPause
 	h := r.self
 	h.State = host.Alive
-	err := r.write(ctx, h, nil)
+	leaving, err := r.writeOwn(ctx, h)
+	if leaving {
+		return
+	}
 	if err == nil {
 		r.nextAttempt = uptime.Now() + copyPause
 		return
@@ -183,6 +196,25 @@
 	}
 }
 
+// writeOwn writes this host's own row, unless the host leaves.
+func (r *Registrar) writeOwn(ctx context.Context, h host.Host) (leaving bool, err error) {
+	r.writing <- struct{}{}
+	defer func() {
+		<-r.writing
+	}()
+	r.mu.Lock()
+	leaving = r.leaving
+	r.mu.Unlock()
+	if leaving {
+		return true, nil
+	}
+	err = r.write(ctx, h, nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastWrite = uptime.Now()
+	return false, err
+}
+
 // write writes the row of h.
 func (r *Registrar) write(ctx context.Context, h host.Host, expected []tuple.Tuple) error {
 	row, err := mirror.Registration(h)
@@ -281,18 +313,48 @@
 	q.since = uptime.Now()
 }
 
-// Deregister removes this host's registration. The host must not use a primary
-// any more.
+// Deregister removes this host's registration, and keeps it from registering again. The
+// host must not use a primary any more.
 func (r *Registrar) Deregister(ctx context.Context) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
-	row := tuple.Tuple{
-		Table:   mirror.Fleet,
-		Key:     mirror.HostPrefix + r.self.Name,
-		Version: r.directory.RegistrationVersion(r.self.Name),
-	}
-	_, err := r.store.Write(call, []tuple.Tuple{row}, nil, []tuple.Tuple{row})
-	if err != nil {
+	if err := r.removeOwn(ctx); err != nil {
 		klog.InfoS("this host could not be deregistered, another host will remove its registration", "host", r.self.Name, "err", err.Error())
 	}
 }
+
+// removeOwn waits for the end of a registration under way, and deletes this host's row.
+func (r *Registrar) removeOwn(ctx context.Context) error {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	select {
+	case r.writing <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() {
+		<-r.writing
+	}()
+	r.mu.Lock()
+	lastWrite := r.lastWrite
+	r.mu.Unlock()
+	var err error
+	for n := range maxDeletes {
+		// The copy may not show what was written last.
+		if n > 0 || r.directory.AsOf(mirror.Fleet) <= lastWrite {
+			if err := r.directory.Reread(ctx, mirror.Fleet); err != nil {
+				return err
+			}
+		}
+		row := tuple.Tuple{
+			Table:   mirror.Fleet,
+			Key:     mirror.HostPrefix + r.self.Name,
+			Version: r.directory.RegistrationVersion(r.self.Name),
+		}
+		if _, err = r.store.Write(ctx, []tuple.Tuple{row}, nil, []tuple.Tuple{row}); err == nil {
+			return nil
+		}
+	}
+	return err
+}
