Tell a caller that a write did not run when it was not sent whole

A caller was told that the outcome of a write or a commit was unknown when the connection to the holder or to the instance was reset before or in the middle of the request's bytes, although the write surely had not run. Callers then have to look whether it ran, and may not send it again.

Cause: a failed send was reported as a missing answer. A task has its length in front and a statement ends with its line, so that one that could not be sent whole does not run. A host now runs such a task on its own connections, as when it can't connect to the holder; statements of a transaction and statements to the instance are refused as not run. A commit that was not sent is answered ABORTED.

Stand-ins: memnet breaks a connection within a write (SetBreaker); linedb writes an answer at once, as one message was several writes before.

--- a/internal/services/forwd/forwd.go
+++ b/internal/services/forwd/forwd.go
@@ -279,7 +279,7 @@
 }
 
 // Do runs one task at the holder. When the holder can't be reached the statement
-// was not sent, and this host's own connections are used.
+// was not sent whole, and this host's own connections are used.
 func (x *execution) Do(ctx context.Context, t *task.Task) (reply.Reply, error) {
 	if x.local != nil {
 		return x.local.Do(ctx, t)
@@ -298,6 +298,10 @@
 	if err != nil && fault.As(err) == nil {
 		x.discard()
 		x.forwarder.avoid(x.holder.Name)
+		var unsent *unsentError
+		if errors.As(err, &unsent) {
+			return x.handleUnsent(ctx, t, err)
+		}
 		x.holderFailed = true
 		return r, fault.New(
 			fault.OutcomeUnknown,
@@ -317,6 +321,20 @@
 	return r, err
 }
 
+// handleUnsent handles a task that the holder has not got. A statement of a transaction
+// needs the connection that is lost.
+func (x *execution) handleUnsent(ctx context.Context, t *task.Task, err error) (reply.Reply, error) {
+	if t.Kind != task.InTransaction {
+		return x.runLocally(ctx, t)
+	}
+	x.holderFailed = true
+	return reply.Reply{}, fault.New(
+		fault.NotRun,
+		"host "+x.holder.Name+" could not be reached",
+		"start the transaction again",
+	).Wrap(err)
+}
+
 // runLocally runs a task on this host's own connections.
 func (x *execution) runLocally(ctx context.Context, t *task.Task) (reply.Reply, error) {
 	x.local = runner.New(x.forwarder.directory, x.forwarder.pools)
--- a/internal/services/forwd/remote.go
+++ b/internal/services/forwd/remote.go
@@ -28,6 +28,22 @@
 	bufferSize = 2048
 )
 
+// unsentError reports that a task was not sent whole, so that the holder does not run
+// it: a task begins with its length.
+type unsentError struct {
+	err error
+}
+
+// Error describes the error.
+func (e *unsentError) Error() string {
+	return "the task was not sent: " + e.err.Error()
+}
+
+// Unwrap returns the error of the connection.
+func (e *unsentError) Unwrap() error {
+	return e.err
+}
+
 // remote is one connection to a holder.
 type remote struct {
 	net net.Conn
@@ -61,13 +77,17 @@
 }
 
 // do sends a task (errand on the wire) and reads its answer. An error that is not
-// a fault is an error of the connection.
+// a fault is an error of the connection, an unsentError if the task was not sent.
 func (r *remote) do(t *task.Task) (reply.Reply, error) {
 	if err := r.net.SetDeadline(t.Deadline.Add(networkTime)); err != nil {
-		return reply.Reply{}, err
+		return reply.Reply{}, &unsentError{
+			err: err,
+		}
 	}
 	if err := r.send(t); err != nil {
-		return reply.Reply{}, err
+		return reply.Reply{}, &unsentError{
+			err: err,
+		}
 	}
 	var a wasabislipv1.ErrandAnswer
 	if err := protodelim.UnmarshalFrom(r.r, &a); err != nil {
--- a/internal/services/runner/runner.go
+++ b/internal/services/runner/runner.go
@@ -110,7 +110,7 @@
 	err := r.conn.Flush(t.Deadline)
 	if err != nil {
 		r.returnConn(false)
-		return reply.Reply{}, unanswered(t.Instance, err)
+		return reply.Reply{}, unsent(t.Instance, err)
 	}
 	a, err := r.conn.Receive(t.Deadline)
 	if err != nil {
@@ -169,6 +169,16 @@
 	r.conn = nil
 }
 
+// unsent returns the fault for a statement that was not sent whole: what is missing
+// includes the end of its line, without which the instance does not run it.
+func unsent(id string, err error) error {
+	return fault.New(
+		fault.NotRun,
+		"the connection to instance "+id+" failed before the statement was sent",
+		"retry; another connection may serve",
+	).Wrap(err)
+}
+
 // unanswered returns the fault for a statement that was sent but not answered.
 func unanswered(id string, err error) error {
 	return fault.New(
--- a/internal/services/sess/tx.go
+++ b/internal/services/sess/tx.go
@@ -8,6 +8,7 @@
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/task"
 	"wasabislip.example/wasabislip/internal/modules/uptime"
+	"wasabislip.example/wasabislip/pkg/model/fault"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 	"wasabislip.example/wasabislip/pkg/model/route"
 )
@@ -256,7 +257,7 @@
 	if err != nil {
 		wrote := s.tx.wrote
 		s.tx.close()
-		if wrote {
+		if wrote && fault.IsKind(err, fault.OutcomeUnknown) {
 			return *s.refusal(reply.InDoubt, "no-answer", "the instance did not answer the commit; it may have run: "+err.Error(), 0)
 		}
 		return *s.refusal(reply.Aborted, "no-answer", "the instance did not answer; nothing was written: "+err.Error(), busyRetryAfter)
--- a/internal/standin/linedb/session.go
+++ b/internal/standin/linedb/session.go
@@ -149,15 +149,16 @@
 	if lost {
 		return
 	}
-	for _, r := range rows {
-		s.write("DATAROW %s", r)
-	}
 	signature := "-"
 	if id != "-" {
 		signature = "sig-" + id
 	}
-	s.write("COMPLETE %s", signature)
-	s.write("READY %s %s", s.txStatus(), s.appliedPosition())
+	var answer strings.Builder
+	for _, r := range rows {
+		fmt.Fprintf(&answer, "DATAROW %s\r\n", r)
+	}
+	fmt.Fprintf(&answer, "COMPLETE %s\r\n", signature)
+	s.write("%sREADY %s %s", &answer, s.txStatus(), s.appliedPosition())
 }
 
 // fail answers a statement with an error code. An open transaction block fails.
--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -45,7 +45,9 @@
 	buffered int
 	closed   bool
 	reset    bool
-	changed  chan struct{}
+	// broken says that reads fail once they have read what was written.
+	broken  bool
+	changed chan struct{}
 }
 
 func newStream(n *Network, from, to string) *stream {
@@ -69,7 +71,7 @@
 	delay := s.net.delay(s.from, s.to)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reset {
+	if s.reset || s.broken {
 		return 0, nil, syscall.ECONNRESET
 	}
 	if s.closed {
@@ -100,6 +102,9 @@
 		return 0, 0, nil, syscall.ECONNRESET
 	}
 	if len(s.segments) == 0 {
+		if s.broken {
+			return 0, 0, nil, syscall.ECONNRESET
+		}
 		if s.closed {
 			return 0, 0, nil, io.EOF
 		}
@@ -132,6 +137,14 @@
 	s.signal()
 }
 
+// breakOff makes writes fail, and reads once they have read what was written.
+func (s *stream) breakOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = true
+	s.signal()
+}
+
 // deadline is a point in time that can be changed while reads or writes wait
 // for it.
 type deadline struct {
@@ -206,6 +219,20 @@
 
 // Write waits for space in the buffer, the write deadline or the connection's end.
 func (c *conn) Write(p []byte) (int, error) {
+	keep, breaks := c.net.breaks(c, p)
+	if !breaks {
+		return c.write(p)
+	}
+	n, err := c.write(p[:keep])
+	c.out.breakOff()
+	c.in.close(true)
+	if err == nil && keep < len(p) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+func (c *conn) write(p []byte) (int, error) {
 	sent := 0
 	for sent < len(p) {
 		at, deadlineChanged := c.writeDeadline.get()
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -38,6 +38,8 @@
 	delays      map[link]time.Duration
 	cuts        map[link]bool
 	conns       map[*conn]struct{}
+	// breaker decides which writes break their connection; nil without one.
+	breaker func(from, to string, data []byte) (keep int, breaks bool)
 	// healed is closed and replaced at each Heal.
 	healed       chan struct{}
 	defaultDelay time.Duration
@@ -124,6 +126,26 @@
 	}
 }
 
+// SetBreaker sets a function that is asked about each write: the addresses of both ends,
+// ip:port, and the bytes. If it returns true, only the first keep bytes are delivered,
+// and then both ends find the connection reset. Nil ends that.
+func (n *Network) SetBreaker(breaker func(from, to string, data []byte) (keep int, breaks bool)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.breaker = breaker
+}
+
+// breaks reports whether a write breaks its connection, and how many of its bytes are
+// delivered before.
+func (n *Network) breaks(c *conn, data []byte) (keep int, breaks bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.breaker == nil {
+		return 0, false
+	}
+	return n.breaker(string(c.local), string(c.remote), data)
+}
+
 // Listen opens a listener at ip:port.
 func (n *Network) Listen(a string) (net.Listener, error) {
 	n.mu.Lock()
