Have what was read again in force when the call returns

The holder of a failover that had been suspended went on after another host had finished it: it ordered a promotion with a lower token after a higher one, or stopped a replica from receiving for good, although it had read its record back from the store.

--- a/internal/services/mirror/build.go
+++ b/internal/services/mirror/build.go
@@ -27,6 +27,10 @@
 func (m *Mirror) rebuild() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	built := map[string]uint64{}
+	for name := range m.tables {
+		built[name] = m.countChanges(name)
+	}
 	old := m.current.Load()
 	next := &snapshot{
 		policy:               old.policy,
@@ -46,6 +50,7 @@
 	m.buildFleet(next)
 	m.keepUnrestoredLeaders(next, old)
 	m.current.Store(next)
+	m.built = built
 	if reflect.DeepEqual(old, next) {
 		return
 	}
@@ -53,6 +58,14 @@
 	m.changed = make(chan struct{})
 }
 
+// isBuilt reports whether the current snapshot has all changes of a table. It waits for
+// a rebuild under way.
+func (m *Mirror) isBuilt(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.built[name] == m.countChanges(name)
+}
+
 // buildOperators decodes the evacuated data centres and the newest configuration.
 // Soon after the store was restored, what this host knew before holds on.
 func (m *Mirror) buildOperators(next, old *snapshot) {
--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -76,6 +76,8 @@
 
 	mu      sync.Mutex
 	current atomic.Pointer[snapshot]
+	// built is how many changes of each table the current snapshot has.
+	built   map[string]uint64
 	changed chan struct{}
 	store   storeHealth
 	// passedOn are rows of earlier eras that other hosts passed on, by table and
@@ -110,6 +112,8 @@
 	// as-of time of the last copy of an earlier era that was open.
 	eraSince time.Duration
 	openAsOf time.Duration
+	// changes counts the changes of the rows.
+	changes uint64
 }
 
 // snapshot holds the decoded rows of all tables. It is immutable once published.
@@ -316,6 +320,14 @@
 	}
 }
 
+// countChanges returns how often the rows of a table have changed.
+func (m *Mirror) countChanges(name string) uint64 {
+	t := m.tables[name]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes
+}
+
 // Patch applies the rows of a table that changed between two versions of the
 // store. It is ignored if the copy is older than the first or newer than the
 // second.
@@ -399,7 +411,11 @@
 	}
 	t.version = version
 	t.asOf = max(t.asOf, asOf)
-	return t.sum != former || len(known) != len(rows)
+	if t.sum == former && len(known) == len(rows) {
+		return false
+	}
+	t.changes++
+	return true
 }
 
 // trackEra notes the start of a new era with the copy of a version as of asOf. The
@@ -444,5 +460,8 @@
 	}
 	t.version = version
 	t.asOf = max(t.asOf, asOf)
+	if changed {
+		t.changes++
+	}
 	return changed
 }
--- a/internal/services/mirror/refresh.go
+++ b/internal/services/mirror/refresh.go
@@ -194,9 +194,17 @@
 	return m.read(ctx, name)
 }
 
-// Reread reads a whole table from the store.
+// Reread reads a whole table from the store. What was read is in force when it
+// returns: another part may have put it into the copy before, and not have derived the
+// snapshot yet.
 func (m *Mirror) Reread(ctx context.Context, name string) error {
-	return m.read(ctx, name)
+	if err := m.read(ctx, name); err != nil {
+		return err
+	}
+	if !m.isBuilt(name) {
+		m.rebuild()
+	}
+	return nil
 }
 
 // read reads a whole table and replaces the copy.
