--- a/internal/routers/edge/stop.go
+++ b/internal/routers/edge/stop.go
@@ -20,6 +20,8 @@
 	rollBackAt = 0.52
 	// cutOffAt is when the sessions that are left are cut off.
 	cutOffAt = 0.92
+	// deregisterUntil is when the host gives up the removal of its registration.
+	deregisterUntil = 0.98
 	// stopPoll is the time between two checks during a stop.
 	stopPoll = 50 * time.Millisecond
 )
@@ -49,7 +51,7 @@
 			continue
 		}
 		if now.After(at(idleCloseEnd)) {
-			_ = l.callers.Close() // a second close is harmless
+			h.closeCallers(l)
 		}
 		progress := float64(now.Sub(at(idleCloseStart))) / float64(at(idleCloseEnd).Sub(at(idleCloseStart)))
 		left := h.endSessions(progress, now.After(at(rollBackAt)))
@@ -57,8 +59,10 @@
 			break
 		}
 	}
-	_ = l.callers.Close() // a second close is harmless
-	h.registrar.Deregister(ctx)
+	h.closeCallers(l)
+	deregister, cancel := context.WithDeadline(ctx, at(deregisterUntil))
+	defer cancel()
+	h.registrar.Deregister(deregister)
 	_ = l.ready.Close() // the process ends
 	_ = l.peers.Close()
 	_ = l.metrics.Close()
@@ -66,6 +70,13 @@
 	h.tasks.Close()
 }
 
+// closeCallers closes the listener for callers and waits until the callers that it
+// accepted are among the sessions.
+func (h *Host) closeCallers(l *listeners) {
+	_ = l.callers.Close() // a second close is harmless
+	<-h.callersDone
+}
+
 // ticks yields the present time every stopPoll until end.
 func ticks(ctx context.Context, end time.Time) func(yield func(time.Time) bool) {
 	return func(yield func(time.Time) bool) {
