Check in every emulator script that no two primaries serve

TestRestoredStore passed with each of four guards of the edge engine taken out: it looked at lost writes only until a primary crashed, and nowhere at whether an instance acknowledged a write after another one had begun to take writes.

The stand-in of the instances now notes each commit by its statement, who led the newest term then, and what a change of the primary loses; clients tell it which successes callers saw. Every script ends with a check of both: no acknowledged write was committed on a replaced primary, and none is lost that docs/PLATFORM.md promises to keep (what a live instance had received, and everything at a planned change; with synchronous replicas also what an instance holds that is down). The crash and the partition in TestPrimaryLost now run under load.

--- a/internal/standin/linedb/linedb.go
+++ b/internal/standin/linedb/linedb.go
@@ -45,10 +45,18 @@
 	lastToken  uint64
 	lastHolder string
 	badTokens  int
+	// leader is the instance that was the last to begin to take writes.
+	leader *instance
+	// outcomes holds the commits by the id of their statement, acknowledged the
+	// statements whose success callers were told; see Acknowledge.
+	outcomes     map[string]*outcome
+	acknowledged map[string]bool
 }
 
 // commit is one entry of the log: an item gets a value.
 type commit struct {
+	// id is that of the statement that committed it.
+	id   string
 	term uint64
 	item string
 	data string
@@ -68,6 +76,8 @@
 	// replicationBlocked tells that the instance receives no log entries.
 	replicationBlocked bool
 	down               bool
+	// steppedDown tells that it led and gave that up when it was asked to.
+	steppedDown bool
 	// loseAnswers tells that callers' statements run but are not answered.
 	loseAnswers bool
 	connections int
@@ -105,7 +115,7 @@
 	if g.instances == nil {
 		g.instances = map[string]*instance{}
 	}
-	g.instances[id] = &instance{
+	inst := &instance{
 		group:    g,
 		id:       id,
 		primary:  len(g.instances) == 0,
@@ -113,6 +123,10 @@
 		slots:    make(chan struct{}, g.Slots),
 		sessions: map[*session]struct{}{},
 	}
+	if inst.primary {
+		g.leader = inst
+	}
+	g.instances[id] = inst
 }
 
 // Primary returns the primary of the newest term.
@@ -219,7 +233,9 @@
 	if inst.down || g.newestTerm() >= term {
 		return
 	}
+	g.noteTakeover(inst)
 	inst.primary = true
+	inst.steppedDown = false
 	inst.term = term
 	inst.pausedTerm = 0
 	inst.applied = len(inst.log)
@@ -233,6 +249,7 @@
 // follow makes inst a replica of primary and copies its log.
 func (inst *instance) follow(primary *instance) {
 	inst.primary = false
+	inst.steppedDown = false
 	inst.term = primary.term
 	inst.pausedTerm = 0
 	inst.log = append([]commit(nil), primary.log...)
@@ -261,12 +278,14 @@
 	})
 }
 
-// appendLog appends commits to the primary's log and sends them to the
-// replicas. The caller holds the group's mutex.
-func (inst *instance) appendLog(writes []commit) {
+// appendLog appends the commits of the statement id to the primary's log and sends
+// them to the replicas. The caller holds the group's mutex.
+func (inst *instance) appendLog(id string, writes []commit) {
 	for i := range writes {
+		writes[i].id = id
 		writes[i].term = inst.term
 	}
+	inst.group.noteCommit(id, inst)
 	inst.log = append(inst.log, writes...)
 	inst.applied = len(inst.log)
 	g, term, to := inst.group, inst.term, len(inst.log)
--- a/internal/standin/linedb/session.go
+++ b/internal/standin/linedb/session.go
@@ -263,17 +263,17 @@
 	writes := s.tx.writes
 	s.record(id, text)
 	s.tx = nil
-	if !s.commitWrites(writes) {
+	if !s.commitWrites(id, writes) {
 		s.fail("READONLY")
 		return
 	}
 	s.complete(id)
 }
 
-// commitWrites appends writes to the primary's log and waits for the
-// synchronous replicas. It returns false when the instance is no primary any
+// commitWrites appends the writes of the statement id to the primary's log and waits
+// for the synchronous replicas. It returns false when the instance is no primary any
 // more. When the replicas don't confirm in time, the connection is closed.
-func (s *session) commitWrites(writes []commit) bool {
+func (s *session) commitWrites(id string, writes []commit) bool {
 	if len(writes) == 0 {
 		return true
 	}
@@ -283,7 +283,7 @@
 		g.mu.Unlock()
 		return false
 	}
-	s.instance.appendLog(writes)
+	s.instance.appendLog(id, writes)
 	to := len(s.instance.log)
 	g.mu.Unlock()
 	for limit := time.Now().Add(syncTimeout); time.Now().Before(limit); time.Sleep(replicationTime) {
@@ -355,7 +355,7 @@
 	}
 	if s.tx != nil {
 		s.tx.writes = append(s.tx.writes, w)
-	} else if !s.commitWrites([]commit{w}) {
+	} else if !s.commitWrites(id, []commit{w}) {
 		s.fail("READONLY")
 		return
 	}
@@ -400,6 +400,7 @@
 		g.resync(inst)
 	case keyword == "STEPDOWN" && term > inst.term && inst.primary:
 		inst.primary = false
+		inst.steppedDown = true
 	}
 	role := "replica"
 	if inst.primary {
--- a/internal/standin/simcli/simcli.go
+++ b/internal/standin/simcli/simcli.go
@@ -18,6 +18,9 @@
 type Client struct {
 	// AnswerTimeout bounds the wait for an answer; 0 is no bound.
 	AnswerTimeout time.Duration
+	// Acknowledged is called with the id of each statement that succeeded; wrote
+	// tells that it was a write outside of a transaction. It may be nil.
+	Acknowledged func(id string, wrote bool)
 
 	conn       net.Conn
 	r          *bufio.Reader
@@ -75,7 +78,11 @@
 	c.statements++
 	id := fmt.Sprintf("c%d-%d", c.session, c.statements)
 	_, _ = fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text) // an error shows in the read
-	return c.read(id)
+	a := c.read(id)
+	if a.OK() && c.Acknowledged != nil {
+		c.Acknowledged(id, a.State == "I" && strings.HasPrefix(text, "WRITE "))
+	}
+	return a
 }
 
 // Close ends the session.
--- a/internal/standin/simenv/caller.go
+++ b/internal/standin/simenv/caller.go
@@ -68,5 +68,6 @@
 		return nil, "", false
 	}
 	c, a := simcli.Open(conn, database, key, 0)
+	c.Acknowledged = e.Group.Acknowledge
 	return c, a.Code, a.OK()
 }
--- a/internal/standin/simenv/fault_test.go
+++ b/internal/standin/simenv/fault_test.go
@@ -182,10 +182,15 @@
 	t.Run("a crashed primary is replaced within the bound", func(t *testing.T) {
 		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
 			is.True(writeUntil(is, env, 0, time.Second) < time.Second)
+			l := startLoad(env, 6)
+			defer l.stopAndWait()
+			time.Sleep(time.Second)
 			env.CrashInstance("i-1")
 			is.True(writeUntil(is, env, 0, 10*time.Second) < 5*time.Second)
+			l.stopAndWait()
 			is.True(env.Group.Primary() != "i-1")
 			is.Equal(len(env.Group.PromotionOrders()), 1)
+			is.Equal(l.staleReads, 0)
 		})
 	})
 	t.Run("the replica that received most takes over", func(t *testing.T) {
@@ -224,6 +229,8 @@
 	})
 	t.Run("hosts partitioned with the primary stop using it before another is promoted", func(t *testing.T) {
 		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			l := startLoad(env, 6)
+			defer l.stopAndWait()
 			_, primary := simenv.Instance(0)
 			// Hosts 0 and 3 stay with the primary; the others and the store
 			// are on the other side.
@@ -237,6 +244,8 @@
 			a := c.Do("READ probe")
 			c.Close()
 			is.True(!a.OK()) // it would be a stale read
+			l.stopAndWait()
+			is.True(l.inDoubtWrites+l.refusedWrites > 0)
 		})
 	})
 	t.Run("a host does not replace a primary right after its own partition heals", func(t *testing.T) {
--- a/internal/standin/simenv/session_test.go
+++ b/internal/standin/simenv/session_test.go
@@ -24,9 +24,18 @@
 		}
 		time.Sleep(5 * time.Second)
 		script(is, env)
+		checkPromises(is, env)
 	})
 }
 
+// checkPromises checks what must hold in every script: no two primaries serve at once,
+// and no acknowledged write is lost that docs/PLATFORM.md promises to keep.
+func checkPromises(is *is.I, env *simenv.Environment) {
+	is.Helper()
+	is.Equal(env.Group.SupersededWrites(), []string(nil))
+	is.Equal(env.Group.LostWrites(), []string(nil))
+}
+
 func TestSessions(t *testing.T) {
 	t.Run("a session reads its own writes", func(t *testing.T) {
 		runScript(t, 3, func(is *is.I, env *simenv.Environment) {
