--- /dev/null
+++ b/internal/services/poller/poller_test.go
@@ -0,0 +1,216 @@
+package poller_test
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/models/leader"
+	"wasabislip.example/wasabislip/internal/models/policy"
+	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/models/report"
+	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
+	"wasabislip.example/wasabislip/internal/services/dbview"
+	"wasabislip.example/wasabislip/internal/services/link"
+	"wasabislip.example/wasabislip/internal/services/poller"
+	"wasabislip.example/wasabislip/internal/services/probe"
+)
+
+const (
+	service = "ledger"
+	// callTime is how long an instance takes for an answer.
+	callTime = 100 * time.Millisecond
+	// outage is how long the store has been away, and renewals time for several
+	// renewals of a lease.
+	outage   = 10 * time.Second
+	renewals = 3 * time.Second
+)
+
+var errDown = errors.New("the instance is down")
+
+// world is one service's instances, as a host sees them that has no answer from the
+// store.
+type world struct {
+	view *dbview.View
+
+	mu      sync.Mutex
+	reports map[string]report.Report
+	down    map[string]bool
+}
+
+// session is a connection to an instance.
+type session struct {
+	link.Link // the rest is not used
+
+	world *world
+	id    string
+}
+
+// run runs the poller of a host. i-1 leads term 1, and i-2 and i-3 follow it.
+func run(t *testing.T, what string, script func(is *is.I, w *world)) {
+	t.Run(what, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			uptime.Restart()
+			w := &world{
+				reports: map[string]report.Report{},
+				down:    map[string]bool{},
+			}
+			for _, id := range []string{"i-1", "i-2", "i-3"} {
+				w.reports[id] = report.Report{
+					Primary: id == "i-1",
+					Term:    1,
+				}
+			}
+			w.view = dbview.New(service, "a", "wasabislip", w, w)
+			time.Sleep(outage)
+			p := poller.New(w, w, w, probe.New(w, w))
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				p.Run(ctx)
+			}()
+			defer func() {
+				cancel()
+				<-done
+			}()
+			script(is.New(t), w)
+		})
+	})
+}
+
+// TestRenewal guards against a lease that is renewed by asking the instances while
+// another host promotes a replica: it stops the replicas from receiving first.
+func TestRenewal(t *testing.T) {
+	run(t, "replicas that follow renew the lease", func(is *is.I, w *world) {
+		time.Sleep(renewals)
+		is.True(w.view.HasLease("i-1"))
+	})
+	run(t, "it counts from before the first question", func(is *is.I, w *world) {
+		for range 20 {
+			time.Sleep(callTime)
+			_, renewed := w.view.LastLeaseRenewal()
+			is.True(renewed == 0 || uptime.Now()-renewed >= 3*callTime)
+		}
+	})
+	stop := func(what string, change func(w *world)) {
+		run(t, what, func(is *is.I, w *world) {
+			time.Sleep(renewals)
+			change(w)
+			changed := uptime.Now()
+			time.Sleep(renewals)
+			_, renewed := w.view.LastLeaseRenewal()
+			is.True(renewed > 0)
+			is.True(renewed <= changed)
+			is.True(!w.view.HasLease("i-1"))
+		})
+	}
+	stop("a replica that was told to stop receiving renews none", func(w *world) {
+		w.set("i-3", report.Report{
+			Term:       1,
+			PausedTerm: 2,
+		})
+	})
+	stop("a replica of a later term renews none", func(w *world) {
+		w.set("i-3", report.Report{
+			Term: 2,
+		})
+	})
+	stop("another primary renews none", func(w *world) {
+		w.set("i-3", report.Report{
+			Primary: true,
+			Term:    1,
+		})
+	})
+	stop("a replica that does not answer renews none", func(w *world) {
+		w.crash("i-2")
+	})
+	stop("a primary that stepped down renews none", func(w *world) {
+		w.set("i-1", report.Report{
+			Term: 1,
+		})
+	})
+}
+
+func (w *world) set(id string, r report.Report) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reports[id] = r
+}
+
+func (w *world) crash(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down[id] = true
+}
+
+// Dial opens a connection to an instance, whose address is its id.
+func (w *world) Dial(_ context.Context, address string) (link.Link, error) {
+	return &session{
+		world: w,
+		id:    address,
+	}, nil
+}
+
+func (s *session) StartSession(string, string, string) (reply.Reply, error) {
+	return reply.Reply{}, nil
+}
+
+func (s *session) Status() (report.Report, reply.Reply, error) {
+	time.Sleep(callTime)
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	if s.world.down[s.id] {
+		return report.Report{}, reply.Reply{}, errDown
+	}
+	return s.world.reports[s.id], reply.Reply{}, nil
+}
+
+func (s *session) SetReadDeadline(time.Time) error  { return nil }
+func (s *session) SetWriteDeadline(time.Time) error { return nil }
+func (s *session) Close() error                     { return nil }
+
+func (w *world) Server(id string) (server.Server, bool) {
+	return server.Server{
+		ID:      id,
+		Service: service,
+		Address: id,
+	}, true
+}
+
+func (w *world) Servers(string) []server.Server {
+	var list []server.Server
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		s, _ := w.Server(id)
+		list = append(list, s)
+	}
+	return list
+}
+
+func (w *world) Leader(string) (l leader.Leader, version uint64, ok bool) {
+	return leader.Leader{
+		Phase:   leader.Settled,
+		Primary: "i-1",
+	}, 1, true
+}
+
+func (w *world) Policy() *policy.Policy    { return nil }
+func (w *world) Services() []string        { return []string{service} }
+func (w *world) Missing(string) bool       { return false }
+func (w *world) Evacuated(string) bool     { return false }
+func (w *world) AsOf(string) time.Duration { return 0 }
+func (w *world) LeasesAsOf() time.Duration { return 0 }
+func (w *world) Rank(string) int           { return 0 }
+func (w *world) PushNow()                  {}
+func (w *world) View(string) *dbview.View  { return w.view }
+
+func (w *world) Registered() (since, until time.Duration, ok bool) {
+	return 0, math.MaxInt64, true
+}
