Show a commit on a replaced primary after a planned change

A host counts a commit as kept while the primary hands over as planned, without a look at the age of what it knows (dbview.Handover). If it is cut off together with the primary during the change, the change becomes an unplanned one, waits out the leases and promotes another instance; the cut off host still takes the former primary for one that hands over. A transaction that it has open then is committed there, and the caller is told so: two primaries.

--- /dev/null
+++ b/internal/standin/simenv/handover_test.go
@@ -0,0 +1,46 @@
+package simenv_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/standin/simenv"
+)
+
+// TestHandover guards against a host that takes a primary for one that hands over,
+// after the planned change has become an unplanned one.
+func TestHandover(t *testing.T) {
+	t.Run("a host cut off in a planned change commits nothing after the promotion", func(t *testing.T) {
+		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			const caller = 5
+			c, _, ok := env.OpenSession(caller, "strict", "key-one")
+			is.True(ok)
+			defer c.Close()
+			is.True(c.Do("BEGIN").OK())
+			env.DrainInstance("i-1")
+			for range 500 {
+				if bytes.Contains(env.Store.Get("wasabislip", "leader-ledger"), []byte(`"changing"`)) {
+					break
+				}
+				is.True(c.Do("WRITE item 1").OK()) // the transaction must not be idle
+				time.Sleep(10 * time.Millisecond)
+			}
+			// The change waits for the open transaction, and all hosts see the record.
+			time.Sleep(200 * time.Millisecond)
+			_, primary := simenv.Instance(0)
+			side := []string{simenv.HostIP(0), simenv.HostIP(caller), primary}
+			partition(env, side)
+			defer heal(env, side)
+			for range 7 {
+				time.Sleep(time.Second)
+				c.Do("WRITE item 2")
+			}
+			is.True(env.Group.Primary() != "i-1")
+			is.True(env.Group.IsPrimary("i-1")) // it does not know that it was replaced
+			is.True(!c.Do("COMMIT").OK())
+		})
+	})
+}
