Check in the soak that no two primaries serve

The soak compared reads with the log of the newest primary and left out all commits that a promotion rolled back. It now has the check of the emulator: a write that an instance committed after another one had begun to take writes must not have been acknowledged.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -39,6 +39,7 @@
 			count++
 			continue
 		}
+		c.Acknowledged = s.group.Acknowledge
 		acknowledged := 0
 		zone := strconv.Itoa(n)
 		if a := c.Do("SET zone " + zone); !a.OK() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -292,6 +292,9 @@
 		}
 	}
 	s.checker.checkExecutions(s.group)
+	for _, problem := range s.group.SupersededWrites() {
+		s.checker.addProblem("%s", problem)
+	}
 	s.logf("promotion orders: %v", s.group.PromotionOrders())
 	s.logf("seed %d: %s", s.Seed, s.checker.summary())
 	if err := s.checker.err(); err != nil {
