--- a/internal/services/failov/failov_test.go
+++ b/internal/services/failov/failov_test.go
@@ -194,6 +194,33 @@
 	})
 }
 
+// TestPlanned guards against a planned change that loses the last commits: a primary
+// that stepped down does not send what it had not sent yet.
+func TestPlanned(t *testing.T) {
+	run(t, "the primary steps down once a replica has received its whole log", func(is *is.I, w *world) {
+		const lag = 200 * time.Millisecond
+		w.receive("i-1", 10)
+		w.receive("i-2", 9)
+		w.drain("i-1")
+		w.await(is, func() bool { return w.writes() > 0 })
+		time.Sleep(lag)
+		is.Equal(w.steppedDownAt("i-1"), time.Duration(0))
+		w.receive("i-2", 10)
+		caughtUp := uptime.Now()
+		time.Sleep(changeTime)
+		is.True(w.steppedDownAt("i-1") >= caughtUp)
+		is.Equal(w.promotions()[0].id, "i-2")
+	})
+	run(t, "the replica that received most is promoted", func(is *is.I, w *world) {
+		w.receive("i-1", 10)
+		w.receive("i-2", 9)
+		w.receive("i-3", 10)
+		w.drain("i-1")
+		time.Sleep(changeTime)
+		is.Equal(w.promotions()[0].id, "i-3")
+	})
+}
+
 // encode returns the value of a row.
 func encode(v any) []byte {
 	b, err := json.Marshal(v)
--- a/internal/services/failov/world_test.go
+++ b/internal/services/failov/world_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/matryer/is"
+
 	"wasabislip.example/wasabislip/internal/models/leader"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/report"
@@ -17,6 +19,7 @@
 	"wasabislip.example/wasabislip/internal/services/dbview"
 	"wasabislip.example/wasabislip/internal/services/mirror"
 	"wasabislip.example/wasabislip/pkg/model/host"
+	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
 const (
@@ -58,6 +61,8 @@
 	report report.Report
 	down   bool
 	held   time.Duration
+	// steppedDown is when it stepped down; 0 if it has not.
+	steppedDown time.Duration
 }
 
 // order is an order to promote an instance.
@@ -159,6 +164,40 @@
 	w.view.RecordFailure(id)
 }
 
+// receive sets where an instance's log ends.
+func (w *world) receive(id string, offset uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.instances[id].report.Received = logpos.Position{
+		Term:   1,
+		Offset: offset,
+	}
+}
+
+// drain makes an instance say that it is about to leave.
+func (w *world) drain(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.instances[id].server.Draining = true
+}
+
+func (w *world) steppedDownAt(id string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.instances[id].steppedDown
+}
+
+// await waits until a condition holds.
+func (w *world) await(is *is.I, holds func() bool) {
+	is.Helper()
+	for limit := uptime.Now() + changeTime; uptime.Now() < limit; time.Sleep(time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	is.Fail() // the condition did not hold in time
+}
+
 // register registers another host, which has not applied any record yet.
 func (w *world) register(name string) {
 	w.mu.Lock()
@@ -362,6 +401,7 @@
 func (w *world) StepDown(_ context.Context, s server.Server, _ uint64) (report.Report, int, error) {
 	return w.ask(s, func(in *instance) {
 		in.report.Primary = false
+		in.steppedDown = uptime.Now()
 	})
 }
 
