--- a/internal/services/mirror/asof_test.go
+++ b/internal/services/mirror/asof_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"wasabislip.example/wasabislip/internal/models/leader"
 	"wasabislip.example/wasabislip/internal/models/tuple"
 	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/internal/services/mirror"
@@ -128,3 +130,64 @@
 		is.Equal(m.LeasesAsOf(), 300*time.Millisecond)
 	})
 }
+
+// TestLostRecord guards against a restored store that brings a replaced primary back:
+// the record that the copy lacks stays in force until the era is open.
+func TestLostRecord(t *testing.T) {
+	record := func(era uint64, token uint64, primary string) tuple.Tuple {
+		value, err := json.Marshal(leader.Leader{
+			Token:   token,
+			Phase:   leader.Settled,
+			Primary: primary,
+		})
+		if err != nil {
+			panic(err) // a record can be encoded
+		}
+		return tuple.Tuple{
+			Table:   mirror.Fleet,
+			Key:     mirror.LeaderPrefix + "ledger",
+			Value:   value,
+			Version: tuple.NewVersion(era, 1),
+		}
+	}
+	opened := tuple.Tuple{
+		Key:     mirror.EraKey(1),
+		Value:   []byte("{}"),
+		Version: tuple.NewVersion(1, 2),
+	}
+	run := func(what string, script func(is *is.I, m *mirror.Mirror)) {
+		t.Run(what, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				uptime.Restart()
+				m := mirror.New(nil, plainDecoder{}, nil, "op", "servers")
+				m.Replace(mirror.Fleet, []tuple.Tuple{record(0, 2, "i-2")}, 5, 0)
+				m.Replace(mirror.Fleet, []tuple.Tuple{record(1, 1, "i-1")}, tuple.NewVersion(1, 1), 0)
+				script(is.New(t), m)
+			})
+		})
+	}
+	primary := func(m *mirror.Mirror) string {
+		l, _, _ := m.Leader("ledger")
+		return l.Primary
+	}
+	run("it stays in force and is known as lost", func(is *is.I, m *mirror.Mirror) {
+		is.Equal(primary(m), "i-2")
+		is.Equal(m.LostLeaders()["ledger"].Primary, "i-2")
+	})
+	run("once the era is open, the store's record is in force", func(is *is.I, m *mirror.Mirror) {
+		m.Replace(mirror.Fleet, []tuple.Tuple{record(1, 1, "i-1"), opened}, opened.Version, 0)
+		is.Equal(primary(m), "i-1")
+		is.Equal(len(m.LostLeaders()), 0)
+	})
+	run("another host's record is taken if its token is higher", func(is *is.I, m *mirror.Mirror) {
+		m.MergeUnrestored([]tuple.Tuple{record(0, 3, "i-3")})
+		is.Equal(primary(m), "i-3")
+		m.MergeUnrestored([]tuple.Tuple{record(0, 1, "i-1")})
+		is.Equal(primary(m), "i-3")
+	})
+	run("no record is taken into an open era", func(is *is.I, m *mirror.Mirror) {
+		m.Replace(mirror.Fleet, []tuple.Tuple{record(1, 1, "i-1"), opened}, opened.Version, 0)
+		m.MergeUnrestored([]tuple.Tuple{record(0, 3, "i-3")})
+		is.Equal(primary(m), "i-1")
+	})
+}
