Expect no row of the next era in a failover's write of era 0

A failover's write that was sent before the first restore of the store could be performed after it, on a version that the store had given to another record, and its token was given out again. In era 0 no row of an era was expected; now the absence of that of era 1 is.

The keeper's test took the clock's former zero for the moment at which the era was seen; it now names that moment, with the same bounds.

--- a/internal/services/eras/eras_test.go
+++ b/internal/services/eras/eras_test.go
@@ -42,7 +42,9 @@
 // world is a store that was just restored, as one host sees it, with another host and
 // two instances.
 type world struct {
-	view *dbview.View
+	// started is when the host saw the era.
+	started time.Duration
+	view    *dbview.View
 
 	mu sync.Mutex
 	// rows are the rows by key, and version the counter of their versions.
@@ -65,9 +67,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			uptime.Restart()
 			w := &world{
-				rows: map[string]tuple.Tuple{},
-				lost: map[string]leader.Leader{},
-				seen: era,
+				started: uptime.Now(),
+				rows:    map[string]tuple.Tuple{},
+				lost:    map[string]leader.Leader{},
+				seen:    era,
 				terms: map[string]uint64{
 					"i-1": 1,
 				},
@@ -247,7 +250,7 @@
 		var l leader.Leader
 		switch {
 		case r.Key == mirror.EraKey(era):
-			w.opened = uptime.Now()
+			w.opened = uptime.Now() - w.started
 		case json.Unmarshal(r.Value, &l) == nil && l.Token >= w.lost[service].Token:
 			delete(w.lost, service)
 		}
@@ -261,7 +264,7 @@
 	return w.opened > 0, w.version
 }
 
-func (w *world) EraSince(string) (n uint64, since time.Duration) { return era, 0 }
+func (w *world) EraSince(string) (n uint64, since time.Duration) { return era, w.started }
 
 func (w *world) EraRows() []tuple.Tuple {
 	w.mu.Lock()
--- a/internal/services/failov/steps.go
+++ b/internal/services/failov/steps.go
@@ -221,6 +221,12 @@
 			Key:     mirror.EraKey(a.era),
 			Version: eraVersion,
 		})
+	} else {
+		// Era 0 has no row of its own; that of the next era must not be there yet.
+		expected = append(expected, tuple.Tuple{
+			Table: a.failover.FleetTable,
+			Key:   mirror.EraKey(a.era + 1),
+		})
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
