--- a/internal/standin/simenv/pause_test.go
+++ b/internal/standin/simenv/pause_test.go
@@ -148,6 +148,23 @@
 			is.True(env.Group.Primary() != "i-1")
 		})
 	})
+	t.Run("a host whose copy lacks one replica does not use the former primary", func(t *testing.T) {
+		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			env.ExpireHeartbeat("i-3")
+			time.Sleep(9 * time.Second)
+			_, known := simenv.Instance(1)
+			cut := func(f func(from, to string)) {
+				forEachCutLink(f)
+				forEachBetween([]string{known}, f)
+			}
+			cut(env.Net.Cut)
+			defer cut(env.Net.Heal)
+			time.Sleep(100 * time.Millisecond)
+			env.ResumeHeartbeat("i-3")
+			is.Equal(countSuperseded(env, 12*time.Second), 0)
+			is.True(env.Group.Primary() != "i-1")
+		})
+	})
 }
 
 func TestHandoverEnds(t *testing.T) {
