--- a/internal/standin/simenv/handover_test.go
+++ b/internal/standin/simenv/handover_test.go
@@ -50,13 +50,13 @@
 func TestLateAnswer(t *testing.T) {
 	// slowStatement is so long that what is sent before the lease ends is committed
 	// after the promotion of another instance.
-	const slowStatement = 4 * time.Second
+	const slowStatement = 6 * time.Second
 	run := func(what string, before []string, statement, want string) {
 		t.Run(what, func(t *testing.T) {
 			runScript(t, 6, func(is *is.I, env *simenv.Environment) {
 				env.Configure(func(config map[string]any) {
 					for _, r := range config["routes"].([]any) {
-						r.(map[string]any)["timeout_ms"] = 5000
+						r.(map[string]any)["timeout_ms"] = 8000
 					}
 				})
 				time.Sleep(2 * time.Second)
