Suspend the holder of a failover at each of its steps

Stand-ins: simenv.Environment.Pause, called at these steps; linedb counts the instances that do not receive.

--- a/internal/standin/linedb/orders.go
+++ b/internal/standin/linedb/orders.go
@@ -52,3 +52,16 @@
 	defer g.mu.Unlock()
 	return g.badTokens
 }
+
+// Paused returns how many instances do not receive because of a PAUSE.
+func (g *Group) Paused() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, inst := range g.instances {
+		if inst.pausedTerm > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/standin/simenv/simenv.go
+++ b/internal/standin/simenv/simenv.go
@@ -71,6 +71,10 @@
 	// is NewConn, which wraps callers' connections to hosts.
 	Tuning  tuning.Tuning
 	NewConn func(c net.Conn) wire.Conn
+	// Pause is called where a host that replaces a primary may be suspended; nil is no
+	// pause. It is set before the hosts start. See the steps of pausingStore and
+	// pausingPromoter.
+	Pause func(host int, step string)
 	// Group holds the instances of the only service: i-1, the first primary, and
 	// the replicas i-2 and i-3.
 	Group *linedb.Group
@@ -389,11 +393,19 @@
 			MemoryMB:       284,
 			MaxFiles:       4200,
 		},
-		Store:          rows.New(StoreAddress, network.Dial),
-		Decoder:        decode.Decoder{},
-		OperatorTable:  decode.OperatorTable,
-		ServerTable:    decode.ServerTable,
-		Promoter:       order.New(orderAddress, network.Dial),
+		Store: &pausingStore{
+			Client: rows.New(StoreAddress, network.Dial),
+			env:    e,
+			host:   i,
+		},
+		Decoder:       decode.Decoder{},
+		OperatorTable: decode.OperatorTable,
+		ServerTable:   decode.ServerTable,
+		Promoter: &pausingPromoter{
+			Client: order.New(orderAddress, network.Dial),
+			env:    e,
+			host:   i,
+		},
 		InstanceDialer: lines.NewDialer(network.Dial),
 		Network:        network,
 		Tuning:         e.Tuning,
