Run no statement whose caller has gone

A host that had been suspended ran a write that lay in the socket's buffer although its caller had closed the connection: the caller had gone on with another host, and the old write came after its later ones.

A host now looks at the connection after it has read a statement, and ends the session if the caller has closed it. Statements with others behind them run as before.

--- a/internal/modules/alive/alive.go
+++ b/internal/modules/alive/alive.go
@@ -35,3 +35,24 @@
 	})
 	return err == nil && open
 }
+
+// IsClosed reports whether the other side has closed a connection, or reset it, and all
+// that it sent before has been read. It does not look at deadlines. Connections without
+// a file descriptor count as open.
+func IsClosed(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	var buf [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
+	})
+	return err == nil && closed
+}
--- a/internal/modules/alive/alive_test.go
+++ b/internal/modules/alive/alive_test.go
@@ -55,3 +55,40 @@
 		is.True(!alive.IsOpen(near))
 	})
 }
+
+func TestIsClosed(t *testing.T) {
+	t.Run("an open connection, also after its read deadline", func(t *testing.T) {
+		is := is.New(t)
+		near, _ := connPair(t)
+		is.True(!alive.IsClosed(near))
+		is.NoErr(near.SetReadDeadline(time.Now().Add(-time.Second)))
+		is.True(!alive.IsClosed(near))
+	})
+	t.Run("a connection with more to read", func(t *testing.T) {
+		is := is.New(t)
+		near, far := connPair(t)
+		_, err := far.Write([]byte("ab"))
+		is.NoErr(err)
+		_, err = near.Read(make([]byte, 1)) // the rest has arrived with it
+		is.NoErr(err)
+		is.True(!alive.IsClosed(near))
+	})
+	t.Run("a connection that the other side closed", func(t *testing.T) {
+		is := is.New(t)
+		near, far := connPair(t)
+		is.NoErr(far.Close())
+		_, err := near.Read(make([]byte, 1)) // waits for the close to arrive
+		is.True(err != nil)
+		is.True(alive.IsClosed(near))
+	})
+	t.Run("a connection that the other side reset", func(t *testing.T) {
+		is := is.New(t)
+		near, far := connPair(t)
+		is.NoErr(far.(*net.TCPConn).SetLinger(0))
+		is.NoErr(far.Close())
+		for limit := time.Now().Add(time.Second); !alive.IsClosed(near) && time.Now().Before(limit); {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(alive.IsClosed(near))
+	})
+}
--- a/internal/routers/edge/caller.go
+++ b/internal/routers/edge/caller.go
@@ -173,6 +173,12 @@
 		c.logLost(err)
 		return false
 	}
+	// A statement may lie in the socket's buffer for long while this process is
+	// suspended: a write that ran then would come after later ones of its caller.
+	if c.conn.IsClosed() {
+		c.host.requestLog.LogFailure("the caller has gone; its statement is not run", "request", q.ID, "database", c.session.Database)
+		return false
+	}
 	c.setBusy(true)
 	r := c.session.Handle(ctx, q)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // a failure shows at the write
--- a/internal/routers/wire/wire.go
+++ b/internal/routers/wire/wire.go
@@ -25,6 +25,9 @@
 	WriteReply(r *reply.Reply) error
 	// Buffered returns how many bytes have been received and not read yet.
 	Buffered() int
+	// IsClosed reports whether the caller has closed the connection and all that it
+	// sent has been read.
+	IsClosed() bool
 	// SetReadDeadline sets the deadline of reads; the zero time sets none.
 	SetReadDeadline(t time.Time) error
 	// SetWriteDeadline sets the deadline of writes; the zero time sets none.
--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -283,6 +283,14 @@
 	return nil
 }
 
+// IsClosed reports whether the peer has closed the connection and all that it sent has
+// been read.
+func (c *conn) IsClosed() bool {
+	c.in.mu.Lock()
+	defer c.in.mu.Unlock()
+	return len(c.in.segments) == 0 && (c.in.closed || c.in.reset || c.in.broken)
+}
+
 // reset makes reads and writes of both ends fail, as a TCP reset does.
 func (c *conn) reset() {
 	c.in.close(true)
