--- a/internal/standin/simenv/gone_test.go
+++ b/internal/standin/simenv/gone_test.go
@@ -35,7 +35,7 @@
 
 // IsClosed asks the emulator's connection, which has no file descriptor.
 func (c suspendedConn) IsClosed() bool {
-	return c.Conn.Buffered() == 0 && c.conn.(interface{ IsClosed() bool }).IsClosed()
+	return c.Buffered() == 0 && c.conn.(interface{ IsClosed() bool }).IsClosed()
 }
 
 // Guards against a write that its caller has given up, and that a suspended host runs
