Let replicas receive again that a superseded failover stopped

A holder that was suspended right after it had read its intent back stopped a replica of the new primary when it woke, and nobody let it receive again: reads there stay behind for ever, and after a loss of the primary so does what it could take over.

A failover now ends its wait when the record has changed, and one that failed lets the replicas receive that it stopped, once another host has settled the record.

--- a/internal/services/failov/hold.go
+++ b/internal/services/failov/hold.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"wasabislip.example/wasabislip/internal/models/leader"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/report"
 	"wasabislip.example/wasabislip/internal/models/server"
@@ -42,11 +43,17 @@
 	all := false
 	held := false
 	a.waitUntil(ctx, a.intentWritten+holdTimeout, func() bool {
+		if a.isSuperseded() {
+			return true
+		}
 		a.holdReplicas(ctx, a.failover.candidates(a.service, a.record.FormerPrimary))
 		all = a.isUnused()
 		held = a.heldForLease(ctx)
 		return all || held
 	})
+	if a.isSuperseded() {
+		return errSuperseded
+	}
 	a.failover.log("no host uses the former primary any more", a.service, a.record, "all-hosts-obey", all, "replica-held", held, "waited", (uptime.Now() - began).String())
 	if !all && !held {
 		return errNotHeld
@@ -159,6 +166,35 @@
 	}
 }
 
+// isSuperseded reports whether this host's copy shows another record than the one that the
+// attempt wrote last.
+func (a *attempt) isSuperseded() bool {
+	_, version, _ := a.failover.Directory.Leader(a.service)
+	return version != a.version
+}
+
+// releaseSuperseded lets the replicas that the attempt stopped receive again if another
+// host has finished the failover. A holder that was suspended may have stopped them
+// after that.
+func (a *attempt) releaseSuperseded(ctx context.Context) {
+	if len(a.held) == 0 {
+		return
+	}
+	if err := a.reread(ctx); err != nil {
+		klog.InfoS("it is not known whether replicas are to receive again: the leader record can't be read", "service", a.service, "err", err.Error())
+		return
+	}
+	settled := func() bool {
+		l, _, ok := a.failover.Directory.Leader(a.service)
+		return ok && l.Phase == leader.Settled
+	}
+	if !a.isSuperseded() || !a.waitUntil(ctx, uptime.Now()+abandonedTimeout, settled) {
+		return
+	}
+	a.record, a.version, _ = a.failover.Directory.Leader(a.service)
+	a.resumeReplicas(ctx)
+}
+
 // isHeld reports whether a replica with the report r follows no primary: it was told to
 // stop receiving, or an earlier failover promoted it.
 func isHeld(r report.Report) bool {
--- a/internal/services/failov/steps.go
+++ b/internal/services/failov/steps.go
@@ -106,6 +106,7 @@
 	err := a.replacePrimary(ctx, why)
 	if err != nil {
 		klog.InfoS("failover failed", "service", service, "reason", why.reason, "token", a.record.Token, "after", (uptime.Now() - started).String(), "err", err.Error())
+		a.releaseSuperseded(ctx)
 		return
 	}
 	took := uptime.Now() - started
@@ -351,7 +352,7 @@
 			if !a.formerStopped && !a.isUnused() && !a.heldForLease(ctx) {
 				return errNotHeld
 			}
-			if _, version, _ := a.failover.Directory.Leader(a.service); version != a.version {
+			if a.isSuperseded() {
 				return errSuperseded
 			}
 			ordered = uptime.Now()
