Release homes of every workspace in each round, not three parts in all

Cause: the host that gets the configuration first claims every part of every workspace before it knows of other hosts. It then released three parts each two seconds over all workspaces together, in the random order of its shards, so that one idle workspace held up the others; 2,000 workspaces would take over two hours.

Change: the limit of three parts in a round is for each workspace. A round reads the lease of each next home once, pauses after each release as claims do, and ends when the lease is due for renewal.

--- a/internal/services/quota/harness_test.go
+++ b/internal/services/quota/harness_test.go
@@ -48,7 +48,9 @@
 	// dead tells that the host no longer runs; knownDead that the others know.
 	dead      bool
 	knownDead bool
-	quota     *quota.Quota
+	// unknown tells that no other host knows of the host yet.
+	unknown bool
+	quota   *quota.Quota
 }
 
 // newWorld starts n hosts.
@@ -111,8 +113,12 @@
 
 func (h *host) Candidates(string) []string {
 	var names []string
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for _, o := range h.hosts {
-		names = append(names, o.name)
+		if o == h || !o.unknown {
+			names = append(names, o.name)
+		}
 	}
 	return names
 }
@@ -122,7 +128,7 @@
 	defer h.mu.Unlock()
 	for _, o := range h.hosts {
 		if o.name == name {
-			return !o.knownDead
+			return !o.knownDead && (o == h || !o.unknown)
 		}
 	}
 	return false
--- a/internal/services/quota/lease.go
+++ b/internal/services/quota/lease.go
@@ -31,7 +31,7 @@
 func (q *Quota) rebalanceUntil(ctx context.Context, end time.Time) bool {
 	for time.Now().Before(end) {
 		q.claimPreferred(ctx, end)
-		q.releaseMisplaced(ctx)
+		q.releaseMisplaced(ctx, end)
 		select {
 		case <-ctx.Done():
 			return false
--- a/internal/services/quota/quota_test.go
+++ b/internal/services/quota/quota_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"wasabislip.example/wasabislip/pkg/model/fault"
+	"wasabislip.example/wasabislip/pkg/model/space"
 )
 
 const (
@@ -157,3 +158,53 @@
 		})
 	})
 }
+
+// TestLossOfFirstHostWithManyWorkspaces kills the host that had claimed every part
+// of every workspace, two rounds of releases after the other hosts joined. No
+// workspace may be left without any tokens.
+func TestLossOfFirstHostWithManyWorkspaces(t *testing.T) {
+	const workspaceCount = 20
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		is := is.New(t)
+		var workspaces []space.Workspace
+		for i := range workspaceCount {
+			workspaces = append(workspaces, space.Workspace{
+				Name:  fmt.Sprintf("ws-%d", i),
+				Rate:  rate,
+				Burst: burst,
+			})
+		}
+		join := func(unknown bool) {
+			w.set(func() {
+				for _, h := range w.hosts[1:] {
+					h.unknown = unknown
+				}
+			})
+		}
+		join(true)
+		w.hosts[0].quota.SetLimits(workspaces)
+		time.Sleep(startTime)
+		join(false)
+		w.hosts[1].quota.SetLimits(workspaces)
+		w.hosts[2].quota.SetLimits(workspaces)
+		time.Sleep(startTime)
+		w.kill(w.hosts[0])
+		time.Sleep(startTime)
+		for i := range workspaces {
+			is.NoErr(admitWithin(w.hosts[2], workspaces[i].Name, time.Second)) // refused far below the rate
+		}
+	})
+}
+
+// admitWithin asks h to admit one statement, again after each refusal until d has
+// passed.
+func admitWithin(h *host, workspace string, d time.Duration) error {
+	end := time.Now().Add(d)
+	for {
+		err := h.quota.Admit(context.Background(), workspace, 1)
+		if err == nil || !time.Now().Before(end) {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/internal/services/quota/release.go
+++ b/internal/services/quota/release.go
@@ -13,29 +13,44 @@
 const (
 	// rebalanceInterval is the time between two rounds of claims and releases.
 	rebalanceInterval = 2 * time.Second
-	// maxReleases is the number of parts that a host releases in one round:
-	// most of a workspace's rate must stay available meanwhile.
+	// maxReleases is the number of parts of one workspace that a host releases
+	// in one round: most of the workspace's rate must stay available meanwhile.
 	maxReleases = 3
 )
 
 // releaseMisplaced releases some of the parts for which another live host is the
-// preferred candidate. A host that starts alone claims all parts of a workspace; if
-// it kept them, its loss would cost the whole rate until its lease has expired.
-func (q *Quota) releaseMisplaced(ctx context.Context) {
-	remaining := maxReleases
+// preferred candidate, until end. A host that starts alone claims all parts of a
+// workspace; if it kept them, its loss would cost the whole rate until its lease has
+// expired.
+func (q *Quota) releaseMisplaced(ctx context.Context, end time.Time) {
+	// leased tells which hosts have a lease, as read in this round.
+	leased := make(map[string]bool)
 	for i := range q.shards {
-		s := &q.shards[i]
-		for _, e := range s.list() {
-			candidates := q.homes.Candidates(e.workspace)
-			for k := range partCount {
-				if remaining == 0 || len(candidates) == 0 || ctx.Err() != nil {
-					return
-				}
-				next := candidates[k%len(candidates)]
-				if next != q.self && q.homes.Alive(next) && s.isHome(e, k) && q.hasLease(ctx, next) && q.release(ctx, s, e, k, next) {
-					remaining--
-				}
-			}
+		for _, e := range q.shards[i].list() {
+			q.releaseParts(ctx, &q.shards[i], e, end, leased)
+		}
+	}
+}
+
+// releaseParts releases at most maxReleases misplaced parts of one workspace, with a
+// pause after each, so that a change of the fleet does not overload the table.
+func (q *Quota) releaseParts(ctx context.Context, s *shard, e *entry, end time.Time, leased map[string]bool) {
+	candidates := q.homes.Candidates(e.workspace)
+	remaining := maxReleases
+	for k := range partCount {
+		if remaining == 0 || len(candidates) == 0 || ctx.Err() != nil || !time.Now().Before(end) {
+			return
+		}
+		next := candidates[k%len(candidates)]
+		if next == q.self || !q.homes.Alive(next) || !s.isHome(e, k) {
+			continue
+		}
+		if _, known := leased[next]; !known {
+			leased[next] = q.hasLease(ctx, next)
+		}
+		if leased[next] && q.release(ctx, s, e, k, next) {
+			remaining--
+			pause(ctx, nil, time.Duration(len(candidates))*claimPause)
 		}
 	}
 }
