End the lease of a lost home after seconds, by two witnesses

A host that died before it had released any part of a workspace left that workspace without tokens.

Cause: only the end of the lease of 90 s gave a lost home's parts back, and the lease has to be that long to outlive a platform outage of a minute.

Evidence: host b dies at 15 s of the simulated time of TestFailures at 0.90. On 94 claims of its part end with other-home, from 16.1 s to the last at 1:33.7; none succeeds before the test ends.

Change: the lease row names two processes of other hosts. The host grants only while one of them promised, or the row was written, within 4 s. Takeover, the 90 s and the tokens outstanding at a takeover are as before. The calls are draws without a workspace: messages of their own need the generator.

--- a/internal/services/quota/claim.go
+++ b/internal/services/quota/claim.go
@@ -39,6 +39,9 @@
 	// host, or by another host that saw the row unchanged for the lease's
 	// duration.
 	Ended bool `json:"ended,omitempty"`
+	// Witnesses are the two processes that may end the lease together; empty if
+	// there are none.
+	Witnesses []string `json:"witnesses,omitempty"`
 	// HandedOver holds the buckets' states of the parts that the host was home
 	// of, by the name of the part's row, if the host ended its lease itself.
 	HandedOver map[string]partState `json:"left,omitempty"`
--- a/internal/services/quota/harness_test.go
+++ b/internal/services/quota/harness_test.go
@@ -33,6 +33,8 @@
 	mu     sync.Mutex
 	rows   map[string]record.Record
 	outage bool
+	// writes counts the writes of the table that took effect, by class.
+	writes map[string]int
 	// lossy is the probability that an answer of the table or a message is
 	// lost, late or repeated.
 	lossy  float64
@@ -48,6 +50,10 @@
 	// dead tells that the host no longer runs; knownDead that the others know.
 	dead      bool
 	knownDead bool
+	// isolated tells that no message to or from the host arrives, and tableless
+	// that it cannot reach the table.
+	isolated  bool
+	tableless bool
 	// unknown tells that no other host knows of the host yet.
 	unknown bool
 	quota   *quota.Quota
@@ -58,6 +64,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
 		rows:   make(map[string]record.Record),
+		writes: make(map[string]int),
 		rand:   rand.New(rand.NewPCG(1, 2)),
 		cancel: cancel,
 	}
@@ -143,7 +150,7 @@
 	time.Sleep(tableTime)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.outage || h.dead {
+	if h.outage || h.dead || h.isolated || h.tableless {
 		return record.Record{}, errDown
 	}
 	r := h.rows[class+" "+name]
@@ -156,7 +163,7 @@
 	time.Sleep(tableTime)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.outage || h.dead {
+	if h.outage || h.dead || h.isolated || h.tableless {
 		return errDown
 	}
 	if h.rows[r.Class+" "+r.Name].Version != expect {
@@ -164,6 +171,7 @@
 	}
 	r.Version = expect + 1
 	h.rows[r.Class+" "+r.Name] = r
+	h.writes[r.Class]++
 	if h.lost() {
 		return errDown
 	}
@@ -175,7 +183,7 @@
 	h.mu.Lock()
 	var to *host
 	for _, o := range h.hosts {
-		if o.name == name && !o.dead {
+		if o.name == name && !o.dead && !o.isolated && !h.isolated {
 			to = o
 		}
 	}
--- a/internal/services/quota/lease.go
+++ b/internal/services/quota/lease.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
+	"wasabislip.example/wasabislip/internal/models/witness"
 	"wasabislip.example/wasabislip/pkg/model/fault"
 )
 
@@ -26,7 +27,7 @@
 
 // rebalanceUntil claims the parts that this host is the preferred candidate for, and
 // releases parts that another host is the preferred candidate for: at once, every
-// rebalanceInterval, and after each configuration, until end. It returns false once
+// rebalanceInterval, and whenever a round is due, until end. It returns false once
 // ctx has ended.
 func (q *Quota) rebalanceUntil(ctx context.Context, end time.Time) bool {
 	for time.Now().Before(end) {
@@ -35,7 +36,7 @@
 		select {
 		case <-ctx.Done():
 			return false
-		case <-q.limitsChanged:
+		case <-q.roundDue:
 		case <-time.After(min(rebalanceInterval, time.Until(end))):
 		}
 	}
@@ -44,6 +45,8 @@
 
 // renew renews the lease, or takes a new one if none is held.
 func (q *Quota) renew(ctx context.Context) error {
+	q.renewing <- struct{}{}
+	defer func() { <-q.renewing }()
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	if q.stopped() {
@@ -57,7 +60,9 @@
 	version := q.version()
 	body := leaseRow{
 		Incarnation: incarnation,
+		Witnesses:   q.chooseWitnesses(sent),
 	}
+	q.recordAttempt(body.Witnesses)
 	err := q.put(ctx, leaseClass, q.self, body, version)
 	if fault.IsKind(err, fault.Conflict) {
 		return q.resolveConflict(ctx, incarnation)
@@ -69,9 +74,17 @@
 	defer q.leaseMu.Unlock()
 	q.leaseVersion = version + 1
 	q.lease.Renew(sent, time.Now())
+	q.holder.RecordWrite(sent, body.Witnesses)
 	return nil
 }
 
+// recordAttempt records that the lease's row is about to be written with set.
+func (q *Quota) recordAttempt(set []string) {
+	q.leaseMu.Lock()
+	defer q.leaseMu.Unlock()
+	q.holder.RecordAttempt(set)
+}
+
 // resolveConflict reads the lease row after a renewal that failed with a conflict.
 // Either an earlier renewal took effect though its answer was lost, and the row's
 // version is one of this host; or another host ended the lease, which is dropped.
@@ -88,6 +101,7 @@
 	defer q.leaseMu.Unlock()
 	if l.Incarnation == incarnation && !l.Ended {
 		q.leaseVersion = rec.Version
+		q.holder.RecordRead(l.Witnesses)
 		return fault.New(fault.Conflict, "a renewal's answer was lost", "renew again")
 	}
 	q.lease.End()
@@ -109,7 +123,7 @@
 	if rec.Version > 0 && !l.Ended && !q.isOwnIncarnation(l.Incarnation) && !q.leaseExpired(sent, rec) {
 		return fault.New(fault.Conflict, "another process of this host may hold the lease", "wait until it has run out")
 	}
-	incarnation := q.processID + "/" + uuid.NewString()
+	incarnation := q.processID + idSeparator + uuid.NewString()
 	sent = time.Now()
 	body := leaseRow{
 		Incarnation: incarnation,
@@ -124,6 +138,7 @@
 	}
 	q.leaseVersion = rec.Version + 1
 	q.lease.Acquire(sent, incarnation)
+	q.holder = witness.NewHolder(sent, promiseWindow)
 	return nil
 }
 
--- a/internal/services/quota/quota.go
+++ b/internal/services/quota/quota.go
@@ -21,6 +21,7 @@
 	"wasabislip.example/wasabislip/internal/models/expiry"
 	"wasabislip.example/wasabislip/internal/models/lease"
 	"wasabislip.example/wasabislip/internal/models/record"
+	"wasabislip.example/wasabislip/internal/models/witness"
 	"wasabislip.example/wasabislip/pkg/model/space"
 )
 
@@ -34,6 +35,8 @@
 	renewRetry = 2 * time.Second
 	// tableTimeout bounds one call to the platform's table.
 	tableTimeout = 2 * time.Second
+	// idSeparator separates the parts of a process's and a lease's identity.
+	idSeparator = "/"
 	// tokenValidity is how long drawn tokens may be used.
 	tokenValidity = 2 * time.Second
 )
@@ -86,13 +89,24 @@
 	shards    [shardCount]shard
 	done      chan struct{}
 
-	wg            conc.WaitGroup
-	limitsChanged chan struct{}
+	wg       conc.WaitGroup
+	roundDue chan struct{}
+
+	// renewing holds a value while a renewal runs: one runs at a time.
+	renewing chan struct{}
 
 	leaseMu      sync.RWMutex
 	lease        *lease.Lease
 	leaseVersion uint64
-	closed       bool
+	holder       *witness.Holder
+	// processes are the processes that promised last, by host.
+	processes map[string]string
+	closed    bool
+
+	// witnessed are the leases that this process may be a witness of, by
+	// incarnation.
+	witnessMu sync.Mutex
+	witnessed map[string]*witness.Witness
 
 	// trackers tell for how long other hosts' lease rows have been unchanged, by
 	// host.
@@ -110,22 +124,28 @@
 // host's lease until ctx ends; then Done is closed.
 func New(ctx context.Context, h homes, p peers, t table, m meter) *Quota {
 	q := &Quota{
-		homes:         h,
-		peers:         p,
-		table:         t,
-		meter:         m,
-		self:          h.Self(),
-		processID:     h.Self() + "/" + uuid.NewString(),
-		seed:          maphash.MakeSeed(),
-		done:          make(chan struct{}),
-		limitsChanged: make(chan struct{}, 1),
-		lease:         lease.New(leaseDuration),
-		trackers:      make(map[string]*expiry.Tracker),
+		homes:     h,
+		peers:     p,
+		table:     t,
+		meter:     m,
+		self:      h.Self(),
+		processID: h.Self() + idSeparator + uuid.NewString(),
+		seed:      maphash.MakeSeed(),
+		done:      make(chan struct{}),
+		roundDue:  make(chan struct{}, 1),
+		renewing:  make(chan struct{}, 1),
+		lease:     lease.New(leaseDuration),
+		holder:    witness.NewHolder(time.Time{}, promiseWindow),
+		processes: make(map[string]string),
+		witnessed: make(map[string]*witness.Witness),
+		trackers:  make(map[string]*expiry.Tracker),
 	}
 	for i := range q.shards {
 		q.shards[i].entries = make(map[string]*entry)
 	}
 	q.wg.Go(func() { q.leaseLoop(ctx) })
+	q.wg.Go(func() { q.promiseLoop(ctx) })
+	q.wg.Go(func() { q.witnessLoop(ctx) })
 	var ending conc.WaitGroup
 	ending.Go(func() {
 		defer close(q.done)
@@ -186,8 +206,13 @@
 		}
 		s.mu.Unlock()
 	}
+	q.startRound()
+}
+
+// startRound starts a round of claims and releases.
+func (q *Quota) startRound() {
 	select {
-	case q.limitsChanged <- struct{}{}:
+	case q.roundDue <- struct{}{}:
 	default:
 	}
 }
--- a/internal/services/quota/quota_test.go
+++ b/internal/services/quota/quota_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,6 +91,11 @@
 			}))
 		})
 	}
+	t.Run("a home without the table", func(t *testing.T) {
+		assertRefused(t, underLoad(t, 0.9, func(w *world) {
+			w.set(func() { w.hosts[1].tableless = true })
+		}))
+	})
 	t.Run("lost, late and repeated messages", func(t *testing.T) {
 		assertRefused(t, underLoad(t, 0.8, func(w *world) {
 			w.set(func() { w.lossy = 0.02 })
@@ -119,6 +125,36 @@
 			is.True(float64(c.ran) > 0.5*rate/5*120) // the rate is not used
 		})
 	})
+	t.Run("ten times the rate, with a home that is isolated and returns", func(t *testing.T) {
+		inWorld(t, hostCount, func(t *testing.T, w *world) {
+			w.limit(rate/5, burst/5)
+			time.Sleep(startTime)
+			isolate := func(isolated bool) { w.set(func() { w.hosts[2].isolated = isolated }) }
+			c := newTally(rate/5, burst/5)
+			time.AfterFunc(time.Second, func() { isolate(true) })
+			time.AfterFunc(40*time.Second, func() { isolate(false) })
+			w.drive(c, 2*rate, time.Minute, anyHost(w))
+			assertBound(t, c)
+			assertUsed(t, c)
+		})
+	})
+	t.Run("ten times the rate, with homes that lose the table in turn", func(t *testing.T) {
+		inWorld(t, hostCount, func(t *testing.T, w *world) {
+			w.limit(rate/5, burst/5)
+			time.Sleep(startTime)
+			c := newTally(rate/5, burst/5)
+			for i, h := range w.hosts {
+				at := time.Duration(i) * 5 * time.Second
+				time.AfterFunc(at, func() { w.set(func() { h.tableless = true }) })
+				time.AfterFunc(at+20*time.Second, func() { w.set(func() { h.tableless = false }) })
+			}
+			time.AfterFunc(12*time.Second, func() { w.kill(w.hosts[0]) })
+			time.AfterFunc(30*time.Second, func() { w.set(func() { w.lossy = 0.2 }) })
+			w.drive(c, 2*rate, 90*time.Second, anyHost(w))
+			assertBound(t, c)
+			assertUsed(t, c)
+		})
+	})
 	t.Run("a lower and a higher rate", func(t *testing.T) {
 		inWorld(t, hostCount, func(t *testing.T, w *world) {
 			w.limit(rate, burst)
@@ -208,3 +244,44 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// TestLeaseWritesOfQuietFleet counts the writes of lease rows in five quiet minutes:
+// one a host in 15 s.
+func TestLeaseWritesOfQuietFleet(t *testing.T) {
+	inWorld(t, hostCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.limit(rate, burst)
+		time.Sleep(startTime)
+		count := func() (n int) {
+			w.set(func() { n = w.writes["lease"] })
+			return n
+		}
+		before := count()
+		time.Sleep(5 * time.Minute)
+		n := count() - before
+		t.Logf("%d writes", n)
+		is.True(n <= hostCount*(5*60/15+1)) // leases are written too often
+	})
+}
+
+// TestLeaseAfterIsolation isolates a host until its lease was ended. It must take a
+// new lease soon after its return, long before the next renewal is due.
+func TestLeaseAfterIsolation(t *testing.T) {
+	// renewedAt is shortly after the first regular renewal.
+	const renewedAt = 16 * time.Second
+	inWorld(t, hostCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.limit(rate, burst)
+		time.Sleep(renewedAt)
+		ended := func() (ended bool) {
+			w.set(func() { ended = strings.Contains(string(w.rows["lease c"].Body), `"ended":true`) })
+			return ended
+		}
+		w.set(func() { w.hosts[2].isolated = true })
+		time.Sleep(2 * startTime)
+		is.True(ended()) // the lease of a lost host goes on
+		w.set(func() { w.hosts[2].isolated = false })
+		time.Sleep(3 * time.Second)
+		is.True(!ended()) // the host has no lease
+	})
+}
--- a/internal/services/quota/serve.go
+++ b/internal/services/quota/serve.go
@@ -22,6 +22,9 @@
 // Draw serves another host's request for tokens. If this host is not the home of the
 // part, it tries to become it; if that fails, it names the home that it knows of.
 func (q *Quota) Draw(ctx context.Context, m *wasabislipv1.DrawRequest) (*wasabislipv1.DrawResponse, error) {
+	if isWitnessCall(m) {
+		return q.answerAsWitness(m), nil
+	}
 	workspace := m.GetWorkspace()
 	k := int(m.GetPart())
 	s := q.shard(workspace)
@@ -71,14 +74,18 @@
 }
 
 // grantTokens answers from the part's bucket if this host is its home under a lease
-// that is valid now; else it drops the bucket and returns nil.
+// that it may use now, else it returns nil. It drops the bucket if the lease is over.
 func (q *Quota) grantTokens(e *entry, k int, m *wasabislipv1.DrawRequest) *wasabislipv1.DrawResponse {
 	p := &e.parts[k]
 	now := time.Now()
-	if p.bucket == nil || !q.holdsLease(now, p.incarnation) {
+	held, usable := q.checkLease(now, p.incarnation)
+	if p.bucket == nil || !held {
 		p.bucket = nil
 		return nil
 	}
+	if !usable {
+		return nil
+	}
 	return response(p.bucket.Draw(now, draw.Request{
 		From:         m.GetFrom(),
 		Sequence:     m.GetSequence(),
@@ -90,11 +97,13 @@
 	}))
 }
 
-// holdsLease reports whether the lease is valid now and of that incarnation.
-func (q *Quota) holdsLease(now time.Time, incarnation string) bool {
+// checkLease reports whether the lease is held now and of that incarnation, and
+// whether it is usable: no witness can have ended it.
+func (q *Quota) checkLease(now time.Time, incarnation string) (held, usable bool) {
 	q.leaseMu.RLock()
 	defer q.leaseMu.RUnlock()
-	return q.lease.Held(now) && q.lease.Incarnation() == incarnation
+	held = q.lease.Held(now) && q.lease.Incarnation() == incarnation
+	return held, held && q.holder.Valid(now)
 }
 
 func response(g grant.Grant) *wasabislipv1.DrawResponse {
