--- a/internal/services/quota/quota_test.go
+++ b/internal/services/quota/quota_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"wasabislip.example/wasabislip/pkg/model/fault"
+	"wasabislip.example/wasabislip/pkg/model/space"
 )
 
 const (
@@ -89,6 +91,11 @@
 			}))
 		})
 	}
+	t.Run("a home without the table", func(t *testing.T) {
+		assertRefused(t, underLoad(t, 0.9, func(w *world) {
+			w.set(func() { w.hosts[1].tableless = true })
+		}))
+	})
 	t.Run("lost, late and repeated messages", func(t *testing.T) {
 		assertRefused(t, underLoad(t, 0.8, func(w *world) {
 			w.set(func() { w.lossy = 0.02 })
@@ -118,6 +125,36 @@
 			is.True(float64(c.ran) > 0.5*rate/5*120) // the rate is not used
 		})
 	})
+	t.Run("ten times the rate, with a home that is isolated and returns", func(t *testing.T) {
+		inWorld(t, hostCount, func(t *testing.T, w *world) {
+			w.limit(rate/5, burst/5)
+			time.Sleep(startTime)
+			isolate := func(isolated bool) { w.set(func() { w.hosts[2].isolated = isolated }) }
+			c := newTally(rate/5, burst/5)
+			time.AfterFunc(time.Second, func() { isolate(true) })
+			time.AfterFunc(40*time.Second, func() { isolate(false) })
+			w.drive(c, 2*rate, time.Minute, anyHost(w))
+			assertBound(t, c)
+			assertUsed(t, c)
+		})
+	})
+	t.Run("ten times the rate, with homes that lose the table in turn", func(t *testing.T) {
+		inWorld(t, hostCount, func(t *testing.T, w *world) {
+			w.limit(rate/5, burst/5)
+			time.Sleep(startTime)
+			c := newTally(rate/5, burst/5)
+			for i, h := range w.hosts {
+				at := time.Duration(i) * 5 * time.Second
+				time.AfterFunc(at, func() { w.set(func() { h.tableless = true }) })
+				time.AfterFunc(at+20*time.Second, func() { w.set(func() { h.tableless = false }) })
+			}
+			time.AfterFunc(12*time.Second, func() { w.kill(w.hosts[0]) })
+			time.AfterFunc(30*time.Second, func() { w.set(func() { w.lossy = 0.2 }) })
+			w.drive(c, 2*rate, 90*time.Second, anyHost(w))
+			assertBound(t, c)
+			assertUsed(t, c)
+		})
+	})
 	t.Run("a lower and a higher rate", func(t *testing.T) {
 		inWorld(t, hostCount, func(t *testing.T, w *world) {
 			w.limit(rate, burst)
@@ -157,3 +194,94 @@
 		})
 	})
 }
+
+// TestLossOfFirstHostWithManyWorkspaces kills the host that had claimed every part
+// of every workspace, two rounds of releases after the other hosts joined. No
+// workspace may be left without any tokens.
+func TestLossOfFirstHostWithManyWorkspaces(t *testing.T) {
+	const workspaceCount = 20
+	inWorld(t, 3, func(t *testing.T, w *world) {
+		is := is.New(t)
+		var workspaces []space.Workspace
+		for i := range workspaceCount {
+			workspaces = append(workspaces, space.Workspace{
+				Name:  fmt.Sprintf("ws-%d", i),
+				Rate:  rate,
+				Burst: burst,
+			})
+		}
+		join := func(unknown bool) {
+			w.set(func() {
+				for _, h := range w.hosts[1:] {
+					h.unknown = unknown
+				}
+			})
+		}
+		join(true)
+		w.hosts[0].quota.SetLimits(workspaces)
+		time.Sleep(startTime)
+		join(false)
+		w.hosts[1].quota.SetLimits(workspaces)
+		w.hosts[2].quota.SetLimits(workspaces)
+		time.Sleep(startTime)
+		w.kill(w.hosts[0])
+		time.Sleep(startTime)
+		for i := range workspaces {
+			is.NoErr(admitWithin(w.hosts[2], workspaces[i].Name, time.Second)) // refused far below the rate
+		}
+	})
+}
+
+// admitWithin asks h to admit one statement, again after each refusal until d has
+// passed.
+func admitWithin(h *host, workspace string, d time.Duration) error {
+	end := time.Now().Add(d)
+	for {
+		err := h.quota.Admit(context.Background(), workspace, 1)
+		if err == nil || !time.Now().Before(end) {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// TestLeaseWritesOfQuietFleet counts the writes of lease rows in five quiet minutes:
+// one a host in 15 s.
+func TestLeaseWritesOfQuietFleet(t *testing.T) {
+	inWorld(t, hostCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.limit(rate, burst)
+		time.Sleep(startTime)
+		count := func() (n int) {
+			w.set(func() { n = w.writes["lease"] })
+			return n
+		}
+		before := count()
+		time.Sleep(5 * time.Minute)
+		n := count() - before
+		t.Logf("%d writes", n)
+		is.True(n <= hostCount*(5*60/15+1)) // leases are written too often
+	})
+}
+
+// TestLeaseAfterIsolation isolates a host until its lease was ended. It must take a
+// new lease soon after its return, long before the next renewal is due.
+func TestLeaseAfterIsolation(t *testing.T) {
+	// renewedAt is shortly after the first regular renewal.
+	const renewedAt = 16 * time.Second
+	inWorld(t, hostCount, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.limit(rate, burst)
+		time.Sleep(renewedAt)
+		ended := func() (ended bool) {
+			w.set(func() { ended = strings.Contains(string(w.rows["lease c"].Body), `"ended":true`) })
+			return ended
+		}
+		w.set(func() { w.hosts[2].isolated = true })
+		time.Sleep(2 * startTime)
+		is.True(ended()) // the lease of a lost host goes on
+		w.set(func() { w.hosts[2].isolated = false })
+		time.Sleep(3 * time.Second)
+		is.True(!ended()) // the host has no lease
+	})
+}
