Read the record again until the store answers before replicas are left stopped

A failover that failed while the store did not answer left the replicas that it had stopped, since it could not read whether another host had finished: nobody would let them receive again. It reads for up to a minute. Found by reading; TestHolderPaused and the other scripts of failovers pass.

--- a/internal/services/failov/hold.go
+++ b/internal/services/failov/hold.go
@@ -28,6 +28,9 @@
 	// holdTimeout bounds the wait for leases: for a replica that can't be stopped from
 	// receiving at first, and for the time of a lease from then on.
 	holdTimeout = 2 * (dbview.Lease + clockMargin)
+	// rereadTimeout bounds the reading of the record after a failover that failed: the
+	// store may be away for that long.
+	rereadTimeout = time.Minute
 	// unregisteredTime is how long after a restore of the store there may be
 	// hosts that hold a lease although the store lost their registration: they
 	// have not noticed the restore, and renew leases by asking the replicas.
@@ -180,7 +183,7 @@
 	if len(a.held) == 0 {
 		return
 	}
-	if err := a.reread(ctx); err != nil {
+	if err := a.rereadPatiently(ctx); err != nil {
 		klog.InfoS("it is not known whether replicas are to receive again: the leader record can't be read", "service", a.service, "err", err.Error())
 		return
 	}
@@ -195,6 +198,19 @@
 	a.resumeReplicas(ctx)
 }
 
+// rereadPatiently reads the fleet's table, again and again while the store does not
+// answer: without it this host can carry out no other failover of the service.
+func (a *attempt) rereadPatiently(ctx context.Context) error {
+	limit := uptime.Now() + rereadTimeout
+	for {
+		err := a.reread(ctx)
+		if err == nil || ctx.Err() != nil || uptime.Now() >= limit {
+			return err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
 // isHeld reports whether a replica with the report r follows no primary: it was told to
 // stop receiving, or an earlier failover promoted it.
 func isHeld(r report.Report) bool {
