--- a/internal/services/dbview/dbview.go
+++ b/internal/services/dbview/dbview.go
@@ -35,6 +35,14 @@
 	maxLagBackoff = 400 * time.Millisecond
 )
 
+// Sources of a lease, for log lines.
+const (
+	// SourceStore is a copy of the fleet table.
+	SourceStore = "store"
+	// SourceReplicas is the answer of all replicas that they follow the primary.
+	SourceReplicas = "replicas"
+)
+
 // tables is this host's copy of the tables in the platform's store.
 type tables interface {
 	Servers(service string) []server.Server
@@ -209,9 +217,9 @@
 
 // hasLease reports whether the lease on id is valid. It counts from the later of
 // two moments: the newest state of the fleet table, with complete records of
-// primaries, that this host has read, and the last one at which all replicas were seen to follow id. That moment must not be
-// before this host's registration, since a host that replaces a primary waits
-// for registered hosts only.
+// primaries, that this host has read, and the last one at which all replicas were seen
+// to follow id. That moment must not be before this host's registration, since a host
+// that replaces a primary waits for registered hosts only.
 func (v *View) hasLease(id string) bool {
 	registered, until, ok := v.registry.Registered()
 	if !ok {
@@ -222,14 +230,6 @@
 	return asOf >= registered && uptime.Now()-asOf < Lease
 }
 
-// Sources of a lease, for log lines.
-const (
-	// SourceStore is a copy of the fleet table.
-	SourceStore = "store"
-	// SourceReplicas is the answer of all replicas that they follow the primary.
-	SourceReplicas = "replicas"
-)
-
 // leaseAsOf returns the moment from which the lease on id counts, and its source.
 func (v *View) leaseAsOf(id string) (asOf time.Duration, source string) {
 	asOf = v.tables.LeasesAsOf()
