--- a/internal/models/witness/search_test.go
+++ b/internal/models/vouch/search_test.go
@@ -1,4 +1,4 @@
-package witness
+package vouch
 
 import (
 	"fmt"
--- a/internal/models/witness/witness.go
+++ b/internal/models/vouch/vouch.go
@@ -1,9 +1,9 @@
-// Package witness lets a lease end soon after its host is lost, long before it runs
+// Package vouch lets a lease end soon after its host is lost, long before it runs
 // out. The lease's row names two processes of other hosts as witnesses. The host
 // uses the lease only while it has a recent promise of one of them, or has written
 // the row lately. A witness that has given no promise for that time, and has seen no
 // write, may end the lease if the other witness agrees.
-package witness
+package vouch
 
 import (
 	"math"
--- a/internal/services/quota/lease.go
+++ b/internal/services/quota/lease.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 	"k8s.io/klog/v2"
 
-	"wasabislip.example/wasabislip/internal/models/witness"
+	"wasabislip.example/wasabislip/internal/models/vouch"
 	"wasabislip.example/wasabislip/pkg/model/fault"
 )
 
@@ -138,7 +138,7 @@
 	}
 	q.leaseVersion = rec.Version + 1
 	q.lease.Acquire(sent, incarnation)
-	q.holder = witness.NewHolder(sent, promiseWindow)
+	q.holder = vouch.NewHolder(sent, promiseWindow)
 	return nil
 }
 
--- a/internal/services/quota/quota.go
+++ b/internal/services/quota/quota.go
@@ -21,7 +21,7 @@
 	"wasabislip.example/wasabislip/internal/models/expiry"
 	"wasabislip.example/wasabislip/internal/models/lease"
 	"wasabislip.example/wasabislip/internal/models/record"
-	"wasabislip.example/wasabislip/internal/models/witness"
+	"wasabislip.example/wasabislip/internal/models/vouch"
 	"wasabislip.example/wasabislip/pkg/model/space"
 )
 
@@ -98,7 +98,7 @@
 	leaseMu      sync.RWMutex
 	lease        *lease.Lease
 	leaseVersion uint64
-	holder       *witness.Holder
+	holder       *vouch.Holder
 	// processes are the processes that promised last, by host.
 	processes map[string]string
 	closed    bool
@@ -106,7 +106,7 @@
 	// witnessed are the leases that this process may be a witness of, by
 	// incarnation.
 	witnessMu sync.Mutex
-	witnessed map[string]*witness.Witness
+	witnessed map[string]*vouch.Witness
 
 	// trackers tell for how long other hosts' lease rows have been unchanged, by
 	// host.
@@ -135,9 +135,9 @@
 		roundDue:  make(chan struct{}, 1),
 		renewing:  make(chan struct{}, 1),
 		lease:     lease.New(leaseDuration),
-		holder:    witness.NewHolder(time.Time{}, promiseWindow),
+		holder:    vouch.NewHolder(time.Time{}, promiseWindow),
 		processes: make(map[string]string),
-		witnessed: make(map[string]*witness.Witness),
+		witnessed: make(map[string]*vouch.Witness),
 		trackers:  make(map[string]*expiry.Tracker),
 	}
 	for i := range q.shards {
--- a/internal/services/quota/witness.go
+++ b/internal/services/quota/witness.go
@@ -11,7 +11,7 @@
 
 	wasabislipv1 "wasabislip.example/wasabislip/internal/gen/wasabislip/v1"
 	"wasabislip.example/wasabislip/internal/models/record"
-	"wasabislip.example/wasabislip/internal/models/witness"
+	"wasabislip.example/wasabislip/internal/models/vouch"
 	"wasabislip.example/wasabislip/internal/modules/declog"
 )
 
@@ -53,7 +53,7 @@
 	defer q.witnessMu.Unlock()
 	w := q.witnessed[m.GetFrom()]
 	if w == nil {
-		w = witness.New(promiseWindow)
+		w = vouch.New(promiseWindow)
 		q.witnessed[m.GetFrom()] = w
 	}
 	ok := false
