--- a/cmd/wasabislip/main_test.go
+++ b/cmd/wasabislip/main_test.go
@@ -187,7 +187,7 @@
 		requireExit(t, err, exitBadFile, "workspaces[0].rate")
 	})
 	t.Run("the error names a host that has not confirmed", func(t *testing.T) {
-		_, err := run(t, &fakeAdmin{staleAnswers: 1000}, "apply", "--timeout", "200ms", writeChanged(t, "rate: 500"))
+		_, err := run(t, &fakeAdmin{staleAnswers: 1000}, "apply", "--timeout", "3s", writeChanged(t, "rate: 500"))
 		requireExit(t, err, exitTimeout, "not confirmed by: entry-2")
 	})
 }
