--- a/internal/modules/conf/conf.go
+++ b/internal/modules/conf/conf.go
@@ -20,6 +20,14 @@
 	// minMemoryMB and minFiles are what a host needs before it serves any caller.
 	minMemoryMB = 32
 	minFiles    = 256
+	// Bounds of the settings of the usage reports. A holder writes to the store within
+	// a part of the lease, and a successor reports within the delay.
+	minReportWindow = time.Second
+	maxReportWindow = time.Hour
+	minUsageDelay   = 2 * time.Second
+	maxUsageDelay   = time.Hour
+	minLease        = time.Second
+	maxLease        = time.Minute
 )
 
 // Settings are the settings of one host.
@@ -54,6 +62,15 @@
 	// rate and burst, and RateTolerance the number of operations.
 	RateOverage   float64 `yaml:"rate-overage"`
 	RateTolerance float64 `yaml:"rate-tolerance"`
+	// ReportWindow is the length of the windows of the usage reports. The reports are
+	// off if this and the next three are absent.
+	ReportWindow time.Duration `yaml:"report-window"`
+	// UsageDelay is how long after a window's end its report may be sent.
+	UsageDelay time.Duration `yaml:"usage-delay"`
+	// UsageTolerance is the fraction by which a report may differ from the true counts.
+	UsageTolerance float64 `yaml:"usage-tolerance"`
+	// LeaseDuration is within what time two hosts must not send reports in turn.
+	LeaseDuration time.Duration `yaml:"lease-duration"`
 	// MemoryMB is the memory limit of the process, in MB.
 	MemoryMB int `yaml:"memory-mb"`
 	// MaxFiles is how many file descriptors the process may have.
@@ -120,6 +137,7 @@
 	if s.RateWindow < time.Second {
 		f.AddProblem("rate-window", "is too short to count in", "use 1s or more")
 	}
+	s.checkUsage(f)
 	if s.MemoryMB < minMemoryMB {
 		f.AddProblem("memory-mb", "is too little", "use 32 or more")
 	}
@@ -128,6 +146,35 @@
 	}
 }
 
+// ReportsUsage reports whether usage reports are on.
+func (s *Settings) ReportsUsage() bool {
+	return s.ReportWindow != 0 || s.UsageDelay != 0 || s.UsageTolerance != 0 || s.LeaseDuration != 0
+}
+
+// checkUsage adds a problem for each invalid setting of the usage reports. They are
+// valid if all are absent.
+func (s *Settings) checkUsage(f *strict.File) {
+	if !s.ReportsUsage() {
+		return
+	}
+	for _, d := range []struct {
+		key       string
+		value     time.Duration
+		low, high time.Duration
+	}{
+		{key: "report-window", value: s.ReportWindow, low: minReportWindow, high: maxReportWindow},
+		{key: "usage-delay", value: s.UsageDelay, low: minUsageDelay, high: maxUsageDelay},
+		{key: "lease-duration", value: s.LeaseDuration, low: minLease, high: maxLease},
+	} {
+		if d.value < d.low || d.value > d.high {
+			f.AddProblem(d.key, "is missing or out of range, and usage reports are on", fmt.Sprintf("use %s to %s, or none of report-window, usage-delay, usage-tolerance and lease-duration", d.low, d.high))
+		}
+	}
+	if !(s.UsageTolerance > 0 && s.UsageTolerance < 1) {
+		f.AddProblem("usage-tolerance", "is missing or out of range, and usage reports are on", "use a fraction above 0 and below 1")
+	}
+}
+
 // checkAddress adds a problem unless text is an IP number and a port.
 func checkAddress(f *strict.File, key, text string) {
 	if _, err := netip.ParseAddrPort(text); err != nil {
