Pass the row of the usage reports on by itself

The row changes once a window. As a part of the digest of the fleet's table it would make each host fetch the whole table again every 5 s, 590 registrations at the design size. Reports of hosts also carry their wall clocks, if usage is reported.

--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -111,6 +111,10 @@
 	pushRequested chan struct{}
 	started       time.Duration
 
+	// ReportsUsage says that this host tells its wall clock and passes the row of the
+	// usage reports on. It is set before Run.
+	ReportsUsage bool
+
 	mu       sync.Mutex
 	sequence uint64
 	stopping bool
@@ -132,6 +136,9 @@
 	// lastHeard is an estimate of when the host made its newest report; it is
 	// never too early.
 	lastHeard time.Duration
+	// clock is the host's wall clock, since the start of 1970, less this host's clock of
+	// uptime at the same moment; 0 if the host does not tell it.
+	clock time.Duration
 	// avoidUntil is the time until which exchanges prefer other hosts, since
 	// this one did not answer.
 	avoidUntil time.Duration
@@ -272,7 +279,7 @@
 	c := wasabislipv1connect.NewGossipServiceClient(g.client, "http://"+h.Address)
 	r, err := c.Spread(ctx, connect.NewRequest(&wasabislipv1.SpreadRequest{
 		From:         g.self.Name,
-		Knowledge:    g.knowledge(h.Name, nil, hosts && g.pushesAll(), g.packsFor(h.Name)),
+		Knowledge:    g.withUsage(g.knowledge(h.Name, nil, hosts && g.pushesAll(), g.packsFor(h.Name)), nil),
 		WithoutHosts: !hosts,
 	}))
 	if err != nil {
@@ -285,6 +292,7 @@
 	g.notePacks(h.Name, k.GetAcceptsPacked())
 	g.mergeTables(k.GetTables(), asked)
 	g.mergeUnrestored(k.GetTables())
+	g.mergeUsage(k.GetTables())
 	g.views.MergeReports(k.GetServices(), asked)
 }
 
@@ -311,7 +319,7 @@
 	}
 	g.waitFirstCopies(ctx, k.GetTables())
 	return connect.NewResponse(&wasabislipv1.SpreadResponse{
-		Knowledge: g.knowledge(r.Msg.GetFrom(), k.GetTables(), !r.Msg.GetWithoutHosts(), k.GetAcceptsPacked()),
+		Knowledge: g.withUsage(g.knowledge(r.Msg.GetFrom(), k.GetTables(), !r.Msg.GetWithoutHosts(), k.GetAcceptsPacked()), k.GetTables()),
 	}), nil
 }
 
--- a/internal/services/gossip/report.go
+++ b/internal/services/gossip/report.go
@@ -70,6 +70,7 @@
 		Unfinished:     inTransaction,
 		Demands:        d,
 		DemandsVersion: version,
+		WallMs:         g.wallMs(),
 	}}
 	return list
 }
@@ -98,6 +99,7 @@
 			Unfinished:     p.report.GetUnfinished(),
 			Demands:        p.report.GetDemands(),
 			DemandsVersion: p.report.GetDemandsVersion(),
+			WallMs:         g.passOnWallMs(p.report),
 		})
 	}
 	return list
@@ -138,6 +140,7 @@
 			g.hostsChanged = true
 		}
 		p.report = r
+		p.clock = clockOf(r, heard)
 		p.lastHeard = max(p.lastHeard, heard)
 	}
 	g.updateLiveness(now)
--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -116,6 +116,8 @@
 	openAsOf time.Duration
 	// changes counts the changes of the rows.
 	changes uint64
+	// separate is the key of the row that is passed on by itself; see usage.go.
+	separate string
 }
 
 // snapshot holds the decoded rows of all tables. It is immutable once published.
@@ -171,6 +173,8 @@
 		}
 	}
 	m.tables[Servers].hash = m.hashServer
+	m.tables[Fleet].hash = hashFleet
+	m.tables[Fleet].separate = UsageKey
 	m.current.Store(&snapshot{})
 	return m
 }
@@ -412,9 +416,10 @@
 		t.sums[r.Key] = sum
 		t.sum += sum
 	}
+	t.keepSeparate(known, version)
 	t.version = version
 	t.asOf = max(t.asOf, asOf)
-	if t.sum == former && len(known) == len(rows) {
+	if t.sum == former && len(known) == len(t.rows) {
 		return false
 	}
 	t.changes++
@@ -450,7 +455,7 @@
 		if r.Version <= t.rows[r.Key].Version {
 			continue
 		}
-		changed = true
+		changed = changed || r.Key != t.separate
 		t.sum -= t.sums[r.Key]
 		if r.Deleted {
 			delete(t.rows, r.Key)
