Count requests by workspace and window

A statement outside of a transaction counts, and the first of a transaction after its begin, when the instance has run it or gave no answer.

--- a/internal/models/task/task.go
+++ b/internal/models/task/task.go
@@ -7,6 +7,7 @@
 
 	"wasabislip.example/wasabislip/internal/models/permit"
 	"wasabislip.example/wasabislip/internal/models/query"
+	"wasabislip.example/wasabislip/internal/models/usage"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
@@ -24,6 +25,8 @@
 	// Admit asks the home of a part of the workspace's rate to admit one
 	// operation. The home host owns the part's token bucket.
 	Admit
+	// Usage tells the counts of the sending host's requests.
+	Usage
 )
 
 // Task is one forwarded statement (errand on the wire).
@@ -52,6 +55,8 @@
 	Wait time.Duration
 	// PermitRequest is the request of an Admit.
 	PermitRequest permit.Request
+	// Usage are the counts of a Usage.
+	Usage *usage.Message
 	// Deadline is when the statement must have ended.
 	Deadline time.Time
 }
--- a/internal/services/runner/runner.go
+++ b/internal/services/runner/runner.go
@@ -9,6 +9,7 @@
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/task"
+	"wasabislip.example/wasabislip/internal/modules/count"
 	"wasabislip.example/wasabislip/internal/services/conns"
 	"wasabislip.example/wasabislip/internal/services/pconn"
 	"wasabislip.example/wasabislip/pkg/model/fault"
@@ -18,6 +19,10 @@
 // rollbackTimeout bounds the sending of a rollback.
 const rollbackTimeout = time.Second
 
+// anonymousWorkspace is what instances are told for callers without a key. Their
+// requests are nobody's usage.
+const anonymousWorkspace = "-"
+
 // directory looks up instances.
 type directory interface {
 	Server(id string) (server.Server, bool)
@@ -32,11 +37,17 @@
 // start of a transaction and its end it keeps the connection. One goroutine
 // uses it at a time.
 type Runner struct {
+	// Counter counts the requests that are sent to instances; nil if no usage is
+	// reported. It is set before the first task.
+	Counter *count.Counter
+
 	directory directory
 	pools     pools
 
 	pool *conns.Pool
 	conn *pconn.Conn
+	// counted says that the open transaction has been counted.
+	counted bool
 }
 
 // New returns a runner without a connection.
@@ -62,6 +73,7 @@
 		return reply.Reply{}, err
 	}
 	if t.Kind == task.Begin {
+		r.counted = false
 		r.conn.Begin(t.ReadOnly, t.MinPosition)
 	} else {
 		r.send(t)
@@ -107,16 +119,20 @@
 // flushAndReceive sends what is queued and reads the answer. It returns the
 // connection to the pool, unless keeps is set and a transaction is open.
 func (r *Runner) flushAndReceive(t *task.Task, keeps bool) (reply.Reply, error) {
+	request := r.beginRequest(t)
 	err := r.conn.Flush(t.Deadline)
 	if err != nil {
+		request.Refused()
 		r.returnConn(false)
 		return reply.Reply{}, unsent(t.Instance, err)
 	}
 	a, err := r.conn.Receive(t.Deadline)
 	if err != nil {
+		request.Ran() // or may have
 		r.returnConn(false)
 		return reply.Reply{}, unanswered(t.Instance, err)
 	}
+	r.endRequest(request, &a)
 	switch a.Outcome {
 	case reply.Busy:
 		r.pool.RecordRefusal()
@@ -131,6 +147,36 @@
 	return a, nil
 }
 
+// isRequest reports whether a statement that is sent to an instance is counted as a
+// request: one outside of a transaction, and the first of a transaction after its begin.
+// Without the last condition each statement of a transaction is.
+func (r *Runner) isRequest(t *task.Task) bool {
+	return t.Kind == task.Autocommit || t.Kind == task.InTransaction && !r.counted
+}
+
+// beginRequest counts a statement that is about to be sent; it returns nil if it is not
+// counted.
+func (r *Runner) beginRequest(t *task.Task) *count.Request {
+	if !r.isRequest(t) || r.conn.Workspace == anonymousWorkspace {
+		return nil
+	}
+	r.counted = true
+	return r.Counter.Begin(r.conn.Workspace)
+}
+
+// endRequest records whether the instance ran a request that it answered.
+func (r *Runner) endRequest(request *count.Request, a *reply.Reply) {
+	if request == nil {
+		return
+	}
+	if a.NotRun() {
+		r.counted = false
+		request.Refused()
+		return
+	}
+	request.Ran()
+}
+
 // runInTransaction runs a statement of the open transaction. No minimum position
 // is sent with it: the transaction's start has checked that.
 func (r *Runner) runInTransaction(t *task.Task) (reply.Reply, error) {
