Report usage to the platform

One host is the holder: it makes the content of a window final in the store and sends it then. Hosts tell it, and the host that would take over, the counts of their requests.

--- a/internal/models/leader/leader.go
+++ b/internal/models/leader/leader.go
@@ -46,3 +46,8 @@
 func NextToken(last, era uint64) uint64 {
 	return max(last+1, era<<tokenEraBits)
 }
+
+// Era returns the era of the store in which a token was given out.
+func Era(token uint64) uint64 {
+	return token >> tokenEraBits
+}
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -91,9 +91,11 @@
 	Server(id string, value []byte) (server.Server, error)
 }
 
-// promoter promotes an instance to primary; token is the fencing token.
+// promoter promotes an instance to primary, and takes usage reports; token is the
+// fencing token.
 type promoter interface {
 	Promote(ctx context.Context, service, id, holder string, token uint64) error
+	Report(ctx context.Context, window uint64, counts map[string]uint64, holder string, token uint64, until time.Duration) error
 }
 
 // dialer opens connections to instances.
@@ -121,7 +123,7 @@
 	// ServerTable is the name of the store's table with the registered
 	// instances.
 	ServerTable string
-	// Promoter promotes instances to primary.
+	// Promoter promotes instances to primary and takes usage reports.
 	Promoter promoter
 	// InstanceDialer opens connections to instances.
 	InstanceDialer dialer
@@ -144,6 +146,8 @@
 	tasks      *tasks.Server
 	requestLog *reqlog.Logger
 	stats      *stats.Stats
+	// usage reports how many requests each workspace ran; nil if that is off.
+	usage *usageReports
 	// callersDone is closed once no caller is accepted any more.
 	callersDone chan struct{}
 
@@ -270,6 +274,7 @@
 	h.requestLog = reqlog.New()
 	h.stats = stats.New()
 	h.registerGauges()
+	h.buildUsage(self)
 }
 
 // registerGauges adds the metrics that are computed when they are read.
@@ -335,6 +340,7 @@
 	})
 	wg.Go(func() { guard.Keep(background, "failover", h.newFailover(prober).Run) })
 	wg.Go(func() { guard.Keep(background, "eras", h.newKeeper(prober).Run) })
+	h.usage.run(background, &wg)
 	wg.Go(func() { h.tasks.Serve(background, listeners.runs) })
 	wg.Go(func() { h.accept(background, listeners.callers) })
 	<-ctx.Done()
--- a/internal/routers/edge/stop.go
+++ b/internal/routers/edge/stop.go
@@ -42,6 +42,7 @@
 	h.mu.Unlock()
 	klog.InfoS("stopping", "host", h.Settings.Host, "callers", n, "grace", h.Settings.GracePeriod.String())
 	h.gossip.Stop()
+	h.usage.leave(ctx)
 	began := time.Now()
 	at := func(fraction float64) time.Time {
 		return began.Add(time.Duration(fraction * float64(h.Settings.GracePeriod)))
@@ -62,6 +63,7 @@
 	h.closeCallers(l)
 	deregister, cancel := context.WithDeadline(ctx, at(deregisterUntil))
 	defer cancel()
+	h.usage.finish(deregister)
 	h.registrar.Deregister(deregister)
 	_ = l.ready.Close() // the process ends
 	_ = l.peers.Close()
--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -1,7 +1,7 @@
 // Package tasks runs the tasks (errands on the wire) that other hosts send to this
 // one. Most are statements: this host is the holder of the workspace's connections
 // to an instance then (see package forwd). The others ask this host, as the home of a
-// workspace's rate, to admit an operation.
+// workspace's rate, to admit an operation, or tell it the counts of their requests.
 package tasks
 
 import (
@@ -22,8 +22,11 @@
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/task"
+	"wasabislip.example/wasabislip/internal/models/usage"
 	"wasabislip.example/wasabislip/internal/modules/alive"
+	"wasabislip.example/wasabislip/internal/modules/count"
 	"wasabislip.example/wasabislip/internal/modules/guard"
+	"wasabislip.example/wasabislip/internal/modules/hostpb"
 	"wasabislip.example/wasabislip/internal/services/conns"
 	"wasabislip.example/wasabislip/internal/services/runner"
 	"wasabislip.example/wasabislip/pkg/model/fault"
@@ -62,8 +65,19 @@
 	Grant(workspace string, request permit.Request) (ok bool, after time.Duration, why string)
 }
 
+// reporter takes the counts of other hosts' requests.
+type reporter interface {
+	Add(m *usage.Message) error
+}
+
 // Server runs tasks for other hosts. It is safe for concurrent use.
 type Server struct {
+	// Counter counts the requests that this host sends to instances, and Reporter
+	// takes the counts of other hosts. Both are nil if no usage is reported, and set
+	// before Serve.
+	Counter  *count.Counter
+	Reporter reporter
+
 	directory directory
 	pools     pools
 	rates     rates
@@ -134,9 +148,11 @@
 		defer s.mu.Unlock()
 		delete(s.conns, conn)
 	}()
+	r := runner.New(s.directory, s.pools)
+	r.Counter = s.Counter
 	c := &peerConn{
 		server: s,
-		runner: runner.New(s.directory, s.pools),
+		runner: r,
 		conn:   conn,
 		r:      bufio.NewReaderSize(conn, bufferBytes),
 		w:      bufio.NewWriterSize(conn, bufferBytes),
@@ -211,7 +227,11 @@
 // runTask runs a statement, or admits an operation. An error says that the instance
 // gave no answer.
 func (c *peerConn) runTask(ctx context.Context, t *task.Task) (reply.Reply, error) {
-	if t.Kind != task.Admit {
+	switch t.Kind {
+	case task.Admit:
+	case task.Usage:
+		return reply.Reply{}, c.server.addUsage(t.Usage)
+	default:
 		return c.runner.Do(ctx, t)
 	}
 	ok, after, why := c.server.rates.Grant(t.Workspace, t.PermitRequest)
@@ -227,6 +247,18 @@
 	}, nil
 }
 
+// addUsage takes the counts of another host's requests.
+func (s *Server) addUsage(m *usage.Message) error {
+	if m == nil || s.Reporter == nil {
+		return fault.New(
+			fault.BadRequest,
+			"the field usage of a task is missing, or this host reports no usage",
+			"set the field, and report-window on all hosts",
+		)
+	}
+	return s.Reporter.Add(m)
+}
+
 // writeReply sends the answer to a task. A failure is sent as a fault: if it is not
 // a fault itself, the outcome counts as unknown.
 func (c *peerConn) writeReply(r *reply.Reply, failure error) error {
@@ -292,6 +324,7 @@
 			Wait:  time.Duration(m.GetClaimWaitMs()) * time.Millisecond,
 			Level: int(m.GetClaimLevel()),
 		},
+		Usage:    hostpb.UsageFromProto(m.GetUsage()),
 		Deadline: time.Now().Add(timeout),
 	}
 }
--- /dev/null
+++ b/internal/services/billing/billing.go
@@ -0,0 +1,684 @@
+// Package billing reports to the platform how many requests each workspace ran. One
+// host does so at a time; see docs/design/usage.md for why no two act at once, and
+// why the platform never gets two contents of a window.
+package billing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"wasabislip.example/wasabislip/internal/models/duty"
+	"wasabislip.example/wasabislip/internal/models/leader"
+	"wasabislip.example/wasabislip/internal/models/sums"
+	"wasabislip.example/wasabislip/internal/models/tuple"
+	"wasabislip.example/wasabislip/internal/models/usage"
+	"wasabislip.example/wasabislip/internal/modules/guard"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
+	"wasabislip.example/wasabislip/internal/services/counts"
+	"wasabislip.example/wasabislip/internal/services/mirror"
+	"wasabislip.example/wasabislip/pkg/model/fault"
+	"wasabislip.example/wasabislip/pkg/model/host"
+)
+
+// Names of the row of the contents.
+const (
+	// PendingTable is the store's table with the row PendingKey, the contents that are
+	// final and not known to be delivered. They are not in the fleet's table, of which
+	// each host has a copy.
+	PendingTable = "wasabislip-usage"
+	PendingKey   = "pending"
+)
+
+const (
+	// checkInterval is the time between two decisions.
+	checkInterval = 100 * time.Millisecond
+	// callTimeout bounds one call of the store.
+	callTimeout = 1500 * time.Millisecond
+	// retryPause is the pause after a failed call of the store or the platform.
+	retryPause = time.Second
+	// maxPendingBytes bounds the row of the pending contents: a page of the store has
+	// at most 1 MB.
+	maxPendingBytes = 700_000
+)
+
+// clock tells the true time.
+type clock interface {
+	Now() (time.Time, bool)
+	At(reading time.Duration) (time.Time, bool)
+}
+
+// directory is this host's copy of the fleet's table.
+type directory interface {
+	Usage() tuple.Tuple
+	Version(name string) uint64
+	EraOpen() (open bool, rowVersion uint64)
+	EraSince(name string) (era uint64, since time.Duration)
+}
+
+// store is the platform's store.
+type store interface {
+	Read(ctx context.Context, table string) ([]tuple.Tuple, uint64, error)
+	Write(ctx context.Context, expected, puts, deletes []tuple.Tuple) (uint64, error)
+}
+
+// platform takes the reports; see order.Client.
+type platform interface {
+	Report(ctx context.Context, window uint64, counts map[string]uint64, holder string, token uint64, until time.Duration) error
+}
+
+// fleet is what gossip tells of the other hosts.
+type fleet interface {
+	Alive() []host.Host
+	Rank(duty string) int
+	Lead(duty, except string) (host.Host, bool)
+}
+
+// forwarder sends counts to another host.
+type forwarder interface {
+	Forward(ctx context.Context, to host.Host, m *usage.Message) error
+}
+
+// Reporter reports while this host is the holder, and takes over from one that does
+// not. Its fields are set before Run.
+type Reporter struct {
+	// Self is this host.
+	Self host.Host
+	// Params are the deployment's parameters.
+	Params usage.Params
+	// Clock tells the true time.
+	Clock clock
+	// Directory is the copy of the fleet's table.
+	Directory directory
+	// Store holds the record and the pending contents.
+	Store store
+	// Platform takes the reports.
+	Platform platform
+	// Hosts are the other hosts.
+	Hosts fleet
+	// Forwarder sends counts to the next holder.
+	Forwarder forwarder
+
+	once    sync.Once
+	changed chan struct{}
+	// done is closed once a host that stops holds nothing any more.
+	done chan struct{}
+
+	mu       sync.Mutex
+	sums     *sums.Sums
+	stopping bool
+	stopped  bool
+	stats    Stats
+	// rowEra, rowVersion and rowSince are the version of the record and when this host
+	// first saw it.
+	rowEra     uint64
+	rowVersion uint64
+	rowSince   time.Duration
+	// startWindow is the window of the first decision.
+	startWindow uint64
+	hold        *duty.Hold
+	uncertain   bool
+	// pausedUntil is until when the store is not called, after a failure.
+	pausedUntil time.Duration
+	// undelivered are the contents that the store holds as final under hold and that
+	// are not known to be delivered, the oldest first.
+	undelivered []usage.Content
+	sending     bool
+	sendAfter   time.Duration
+	unknownSend time.Duration
+}
+
+// Stats are figures for the metrics.
+type Stats struct {
+	// Holder says whether this host is the holder.
+	Holder bool
+	// Finalized, Delivered, Late, Missed and Refused count windows, Takeovers the times
+	// that this host became the holder, Dropped the windows' counts that came too late.
+	Finalized, Delivered, Late, Missed, Refused, Takeovers, Dropped int
+	// MissingHosts is how many live hosts had not told all counts of the last window
+	// when it became final.
+	MissingHosts int
+	// Delay is the time from the end of the window that was delivered last to its
+	// delivery.
+	Delay time.Duration
+}
+
+// init creates what the zero value lacks.
+func (r *Reporter) init() {
+	r.once.Do(func() {
+		r.sums = sums.New()
+		r.changed = make(chan struct{}, 1)
+		r.done = make(chan struct{})
+	})
+}
+
+// Stats returns the figures.
+func (r *Reporter) Stats() Stats {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.stats
+	s.Holder = r.hold != nil
+	s.Dropped = r.sums.Dropped()
+	return s
+}
+
+// Add takes the counts of a host. A fault of the kind bad-request names an invalid
+// field; the message then has no effect.
+func (r *Reporter) Add(m *usage.Message) error {
+	r.init()
+	now, ok := r.Clock.Now()
+	if !ok {
+		return fault.New(
+			fault.Overloaded,
+			"this host does not know the time yet",
+			"send the counts again",
+		)
+	}
+	if err := m.Check(r.Params.At(now)); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sums.Add(m)
+	return nil
+}
+
+// Run reports until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	r.init()
+	t := time.NewTicker(checkInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-r.changed:
+		}
+		r.step(ctx)
+	}
+}
+
+// Stop lets another host take over, and waits for that until ctx ends.
+func (r *Reporter) Stop(ctx context.Context) {
+	r.init()
+	r.mu.Lock()
+	r.stopping = true
+	r.mu.Unlock()
+	select {
+	case <-r.done:
+	case <-ctx.Done():
+	}
+}
+
+// step decides once and acts.
+func (r *Reporter) step(ctx context.Context) {
+	in, ok := r.input()
+	if !ok {
+		return
+	}
+	d := duty.Decide(in)
+	r.log(in, d)
+	switch d.Action {
+	case duty.TakeOver:
+		r.takeOver(ctx, in, d)
+	case duty.Finalize:
+		r.finalize(ctx, in, d)
+	case duty.Renew:
+		r.write(ctx, in, d.Record, r.contents())
+	case duty.Release:
+		if r.write(ctx, in, d.Record, r.contents()) {
+			r.giveUp()
+			r.passOn(ctx)
+		}
+		r.endStop(true)
+	case duty.GiveUp:
+		r.giveUp()
+	case duty.Reread:
+		r.reread(ctx)
+	case duty.Send:
+		r.send(ctx, in)
+	}
+	r.endStop(false)
+}
+
+// endStop ends the wait of Stop: if this host holds nothing, or could not release it.
+func (r *Reporter) endStop(failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.stopping || r.stopped || !failed && (r.hold != nil || r.uncertain) {
+		return
+	}
+	r.stopped = true
+	close(r.done)
+}
+
+// input returns what the decision depends on; false while there is nothing to decide.
+func (r *Reporter) input() (*duty.Input, bool) {
+	row := r.Directory.Usage()
+	era, eraSince := r.Directory.EraSince(mirror.Fleet)
+	open, eraRow := r.Directory.EraOpen()
+	if row.Version != 0 && tuple.Era(row.Version) != era || eraRow != 0 && tuple.Era(eraRow) != era {
+		return nil, false // the copy is being replaced
+	}
+	in := &duty.Input{
+		Params:      r.Params,
+		Host:        r.Self.Name,
+		Incarnation: r.Self.Incarnation,
+		Rank:        r.Hosts.Rank(counts.Duty),
+		Copied:      r.Directory.Version(mirror.Fleet) != 0,
+		RowVersion:  row.Version,
+		Era:         era,
+		EraOpen:     open,
+	}
+	alive := r.Hosts.Alive()
+	in.Interval = counts.Interval(len(alive) + 1)
+	if now, ok := r.Clock.Now(); ok {
+		in.Time = now
+		in.EraSince, _ = r.Clock.At(eraSince)
+	}
+	if row.Version != 0 {
+		record, err := usage.DecodeRecord(row.Value)
+		if err != nil {
+			klog.ErrorS(err, "no usage is reported until the row is removed from the store", "table", mirror.Fleet, "key", mirror.UsageKey, "version", row.Version)
+			return nil, false
+		}
+		in.Row = record
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	in.Uptime = uptime.Now()
+	if r.rowSince == 0 || r.rowEra != era || r.rowVersion != row.Version {
+		r.rowEra = era
+		r.rowVersion = row.Version
+		r.rowSince = in.Uptime
+	}
+	in.RowSince = r.rowSince
+	if !in.Time.IsZero() && r.startWindow == 0 {
+		r.startWindow = r.Params.At(in.Time)
+	}
+	in.First = r.startWindow
+	if first, ok := r.sums.First(); ok {
+		in.First = min(in.First, first)
+	}
+	in.Stopping = r.stopping
+	in.Hold = r.hold
+	in.Uncertain = r.uncertain
+	in.Undelivered = len(r.undelivered)
+	in.Sending = r.sending
+	in.SendAfter = r.sendAfter
+	in.UnknownSend = r.unknownSend
+	in.Missing = func(window uint64) int {
+		return r.missing(alive, window)
+	}
+	r.forget(in)
+	return in, !r.stopped && in.Uptime >= r.pausedUntil
+}
+
+// forget drops the counts that are not needed any more. The caller holds mu.
+func (r *Reporter) forget(in *duty.Input) {
+	if in.Time.IsZero() {
+		return
+	}
+	final := in.Row.Final
+	if r.hold != nil {
+		final = r.hold.Record.Final
+	}
+	r.sums.Forget(final, r.Params.At(in.Time))
+}
+
+// missing returns how many live hosts have not told all counts of a window.
+func (r *Reporter) missing(alive []host.Host, window uint64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, h := range append([]host.Host{r.Self}, alive...) {
+		if !r.sums.HasAll(h.Name, h.Incarnation, window) {
+			n++
+		}
+	}
+	return n
+}
+
+// contents returns the contents that are not known to be delivered.
+func (r *Reporter) contents() []usage.Content {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]usage.Content(nil), r.undelivered...)
+}
+
+// takeOver makes this host the holder. Contents of an earlier era of the store are
+// not taken: a write that was late may have changed them after others were sent.
+func (r *Reporter) takeOver(ctx context.Context, in *duty.Input, d duty.Decision) {
+	var list []usage.Content
+	if in.RowVersion != 0 && leader.Era(in.Row.Token) >= in.Era {
+		var err error
+		list, err = r.readPending(ctx, in.Era)
+		if err != nil {
+			klog.InfoS("the pending usage reports can't be read", "err", err.Error())
+			r.pause()
+			return
+		}
+	}
+	if r.write(ctx, in, d.Record, list) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.undelivered = list
+		r.stats.Takeovers++
+	}
+}
+
+// readPending reads the contents that are not known to be delivered.
+func (r *Reporter) readPending(ctx context.Context, era uint64) ([]usage.Content, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, version, err := r.Store.Read(call, PendingTable)
+	if err != nil {
+		return nil, err
+	}
+	if tuple.Era(version) != era {
+		return nil, fault.New(
+			fault.Platform,
+			"the store was restored meanwhile",
+			"decide again",
+		)
+	}
+	for _, row := range rows {
+		if row.Key == PendingKey {
+			return usage.DecodePending(row.Value)
+		}
+	}
+	return nil, nil
+}
+
+// finalize fixes the contents of windows and writes them to the store. They are sent
+// only after that.
+func (r *Reporter) finalize(ctx context.Context, in *duty.Input, d duty.Decision) {
+	missing := in.Missing(d.Record.Final)
+	missed := int(d.First - in.Hold.Record.Final - 1)
+	list := r.contents()
+	r.mu.Lock()
+	for window := d.First; window <= d.Record.Final; window++ {
+		list = append(list, usage.Content{
+			Window: window,
+			Counts: r.sums.Total(window),
+		})
+	}
+	r.mu.Unlock()
+	list, dropped := trim(list)
+	if !r.write(ctx, in, d.Record, list) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.undelivered = list
+	r.stats.Finalized += int(d.Record.Final - d.First + 1)
+	r.stats.Missed += missed + dropped
+	r.stats.MissingHosts = missing
+	if missed+dropped > 0 || missing > 0 {
+		klog.InfoS("usage: windows are incomplete", "window", d.Record.Final, "hosts-missing", missing, "windows-missed", missed+dropped)
+	}
+}
+
+// trim drops the oldest contents of a list that is too long to be kept, and returns
+// their number.
+func trim(list []usage.Content) (kept []usage.Content, dropped int) {
+	kept = list
+	for len(kept) > 1 {
+		value, err := usage.EncodePending(kept)
+		if len(kept) <= usage.KeptWindows && err == nil && len(value) <= maxPendingBytes {
+			break
+		}
+		kept = kept[1:]
+		dropped++
+	}
+	return kept, dropped
+}
+
+// write writes the record and the pending contents, if the record is still the one that
+// the decision was made on. It reports whether that is known to have succeeded.
+func (r *Reporter) write(ctx context.Context, in *duty.Input, record usage.Record, list []usage.Content) bool {
+	value, err := record.Encode()
+	if err != nil {
+		klog.ErrorS(err, "usage")
+		return false
+	}
+	contents, err := usage.EncodePending(list)
+	if err != nil {
+		klog.ErrorS(err, "usage")
+		return false
+	}
+	row := tuple.Tuple{
+		Table:   mirror.Fleet,
+		Key:     mirror.UsageKey,
+		Value:   value,
+		Version: in.RowVersion,
+	}
+	if in.Hold != nil {
+		row.Version = in.Hold.Version
+	}
+	began := uptime.Now()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	version, err := r.Store.Write(call, []tuple.Tuple{row, r.eraRow(in.Era)}, []tuple.Tuple{row, {
+		Table: PendingTable,
+		Key:   PendingKey,
+		Value: contents,
+	}}, nil)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.uncertain = true
+		klog.InfoS("the record of the usage reports could not be written", "token", record.Token, "final", record.Final, "err", err.Error())
+		return false
+	}
+	hold := &duty.Hold{
+		Record:  record,
+		Version: version,
+		Written: began,
+		Since:   uptime.Now(),
+	}
+	if in.Hold != nil {
+		hold.Since = in.Hold.Since
+	}
+	r.hold = hold
+	return true
+}
+
+// eraRow returns the row that a write expects so that it fails if it comes late, after
+// the store was restored and a later era was opened; see docs/design/restored-store.md.
+func (r *Reporter) eraRow(era uint64) tuple.Tuple {
+	if _, version := r.Directory.EraOpen(); version != 0 {
+		return tuple.Tuple{
+			Table:   mirror.Fleet,
+			Key:     mirror.EraKey(era),
+			Version: version,
+		}
+	}
+	return tuple.Tuple{
+		Table: mirror.Fleet,
+		Key:   mirror.EraKey(era + 1),
+	}
+}
+
+// reread reads the record from the store and finds out whether this host holds it.
+// That renews no time to send, since it is not known which write succeeded.
+func (r *Reporter) reread(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, version, err := r.Store.Read(call, mirror.Fleet)
+	if err != nil {
+		klog.InfoS("the record of the usage reports can't be read", "err", err.Error())
+		r.pause()
+		return
+	}
+	var record usage.Record
+	var rowVersion uint64
+	for _, row := range rows {
+		if row.Key != mirror.UsageKey {
+			continue
+		}
+		rowVersion = row.Version
+		if record, err = usage.DecodeRecord(row.Value); err != nil {
+			klog.ErrorS(err, "usage")
+		}
+	}
+	own := record.Holder == r.Self.Name && record.Incarnation == r.Self.Incarnation && leader.Era(record.Token) >= tuple.Era(version)
+	r.mu.Lock()
+	known := r.hold
+	r.mu.Unlock()
+	if !own {
+		r.giveUp()
+		return
+	}
+	if known != nil && known.Version == rowVersion {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.uncertain = false
+		return
+	}
+	list, err := r.readPending(ctx, tuple.Era(version))
+	if err != nil {
+		klog.InfoS("the pending usage reports can't be read", "err", err.Error())
+		r.pause()
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hold := &duty.Hold{
+		Record:  record,
+		Version: rowVersion,
+		Since:   uptime.Now(),
+	}
+	if known != nil {
+		hold.Since = known.Since
+		hold.Written = known.Written
+	}
+	r.hold = hold
+	r.undelivered = list
+	r.uncertain = false
+}
+
+// giveUp ends the hold.
+func (r *Reporter) giveUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hold = nil
+	r.uncertain = false
+	r.undelivered = nil
+}
+
+// pause keeps this host from deciding again at once after a failure.
+func (r *Reporter) pause() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pausedUntil = uptime.Now() + retryPause
+}
+
+// send sends the oldest content that is not delivered. The call goes on beside further
+// decisions: a slow platform does not delay the contents of later windows.
+func (r *Reporter) send(ctx context.Context, in *duty.Input) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.undelivered[0]
+	r.sending = true
+	r.sendAfter = uptime.Now() + retryPause
+	token, until := in.Hold.Record.Token, in.Hold.Written+r.Params.SendTime()
+	go guard.Run("usage-report", func() {
+		err := fault.New(
+			fault.OutcomeUnknown,
+			"the call did not end",
+			"look for its panic in the log",
+		)
+		defer func() {
+			r.endSend(c, token, err)
+		}()
+		if e := r.Platform.Report(ctx, c.Window, c.Counts, r.Self.Name, token, until); e == nil {
+			err = nil
+		} else if f := fault.As(e); f != nil {
+			err = f
+		}
+	})
+}
+
+// endSend records the outcome of a call.
+func (r *Reporter) endSend(c usage.Content, token uint64, err *fault.Fault) {
+	now, _ := r.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sending = false
+	delay := now.Sub(r.Params.End(c.Window))
+	if err != nil {
+		klog.InfoS("usage: a report was not delivered", "window", c.Window, "token", token, "workspaces", len(c.Counts), "after", delay.String(), "err", err.Error())
+	}
+	switch {
+	case err == nil:
+		r.stats.Delivered++
+		r.stats.Delay = delay
+		if delay > r.Params.Delay {
+			r.stats.Late++
+		}
+		klog.InfoS("usage: report delivered", "window", c.Window, "token", token, "workspaces", len(c.Counts), "after", delay.String())
+		r.sendAfter = 0
+	case err.Kind == fault.Conflict, err.Kind == fault.BadRequest:
+		r.stats.Refused++
+	case err.Kind == fault.OutcomeUnknown:
+		r.unknownSend = uptime.Now()
+		return
+	default:
+		return
+	}
+	if len(r.undelivered) > 0 && r.undelivered[0].Window == c.Window {
+		r.undelivered = r.undelivered[1:]
+	}
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// passOn sends the counts of hosts that are gone to the host that reports next. The
+// live ones send theirs again.
+func (r *Reporter) passOn(ctx context.Context) {
+	to, ok := r.Hosts.Lead(counts.Duty, r.Self.Name)
+	if !ok {
+		return
+	}
+	alive := r.Hosts.Alive()
+	r.mu.Lock()
+	list := r.sums.Messages(func(name string, incarnation uint64) bool {
+		for _, h := range append([]host.Host{r.Self}, alive...) {
+			if h.Name == name && h.Incarnation == incarnation {
+				return true
+			}
+		}
+		return false
+	})
+	r.mu.Unlock()
+	for i := range list {
+		if err := r.Forwarder.Forward(ctx, to, &list[i]); err != nil {
+			klog.InfoS("usage: the counts of a host that is gone could not be passed on", "from", list[i].From, "to", to.Name, "err", err.Error())
+		}
+	}
+}
+
+// log writes a line for each decision that changes something.
+func (r *Reporter) log(in *duty.Input, d duty.Decision) {
+	if d.Action == duty.Wait || d.Action == duty.Send {
+		return
+	}
+	klog.InfoS(
+		"usage",
+		"action", d.Action,
+		"reason", d.Reason,
+		"holder", in.Row.Holder,
+		"token", max(in.Row.Token, d.Record.Token),
+		"final", max(in.Row.Final, d.Record.Final),
+		"rank", in.Rank,
+		"undelivered", in.Undelivered,
+		"unchanged", (in.Uptime - in.RowSince).String(),
+	)
+}
--- a/internal/services/forwd/forwd.go
+++ b/internal/services/forwd/forwd.go
@@ -19,6 +19,7 @@
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/task"
+	"wasabislip.example/wasabislip/internal/modules/count"
 	"wasabislip.example/wasabislip/internal/services/conns"
 	"wasabislip.example/wasabislip/internal/services/runner"
 	"wasabislip.example/wasabislip/pkg/model/fault"
@@ -56,6 +57,10 @@
 
 // Forwarder forwards statements to other hosts. It is safe for concurrent use.
 type Forwarder struct {
+	// Counter counts the requests that this host sends to instances; nil if no usage
+	// is reported. It is set before the first use.
+	Counter *count.Counter
+
 	self      host.Host
 	fleet     fleet
 	directory directory
@@ -150,13 +155,20 @@
 	}
 	holder, ok := f.findHolder(to, workspace)
 	if !ok {
-		x.local = runner.New(f.directory, f.pools)
+		x.local = f.newRunner()
 		return x
 	}
 	x.holder = holder
 	return x
 }
 
+// newRunner returns a runner on this host's own connections.
+func (f *Forwarder) newRunner() *runner.Runner {
+	r := runner.New(f.directory, f.pools)
+	r.Counter = f.Counter
+	return r
+}
+
 // findHolder returns the holder of the workspace's connections to an instance; false
 // when it is this host or no holder can be asked.
 func (f *Forwarder) findHolder(to server.Server, workspace string) (host.Host, bool) {
@@ -337,7 +349,7 @@
 
 // runLocally runs a task on this host's own connections.
 func (x *execution) runLocally(ctx context.Context, t *task.Task) (reply.Reply, error) {
-	x.local = runner.New(x.forwarder.directory, x.forwarder.pools)
+	x.local = x.forwarder.newRunner()
 	return x.local.Do(ctx, t)
 }
 
--- a/internal/services/forwd/remote.go
+++ b/internal/services/forwd/remote.go
@@ -12,6 +12,7 @@
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/task"
 	"wasabislip.example/wasabislip/internal/modules/alive"
+	"wasabislip.example/wasabislip/internal/modules/hostpb"
 	"wasabislip.example/wasabislip/pkg/model/fault"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
@@ -135,6 +136,7 @@
 		TimeoutMs:   milliseconds(time.Until(t.Deadline)),
 		ClaimWaitMs: milliseconds(t.PermitRequest.Wait),
 		ClaimLevel:  int32(t.PermitRequest.Level),
+		Usage:       hostpb.UsageToProto(t.Usage),
 	})
 	if err != nil {
 		return err
--- a/internal/standin/simenv/pause.go
+++ b/internal/standin/simenv/pause.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 	"sync"
+	"time"
 
 	"wasabislip.example/wasabislip/internal/models/leader"
 	"wasabislip.example/wasabislip/internal/models/tuple"
@@ -21,6 +22,9 @@
 	StepOrder  = "order"
 )
 
+// StepReport is the step of a host that sends a usage report.
+const StepReport = "report"
+
 // pausingStore is a host's client of the store. It pauses before and after each write
 // of a leader record, "before STEP" and "after STEP", and after the answer to the read
 // that follows it, "read STEP".
@@ -105,6 +109,14 @@
 	return err
 }
 
+// Report sends a usage report. It pauses before and after that.
+func (p *pausingPromoter) Report(ctx context.Context, window uint64, counts map[string]uint64, holder string, token uint64, until time.Duration) error {
+	p.env.pause(p.host, "before "+StepReport)
+	err := p.Client.Report(ctx, window, counts, holder, token, until)
+	p.env.pause(p.host, "after "+StepReport)
+	return err
+}
+
 func (e *Environment) pause(host int, step string) {
 	if e.Pause != nil {
 		e.Pause(host, step)
--- a/internal/standin/simenv/simenv.go
+++ b/internal/standin/simenv/simenv.go
@@ -19,6 +19,7 @@
 	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/internal/routers/edge"
 	"wasabislip.example/wasabislip/internal/routers/wire"
+	"wasabislip.example/wasabislip/internal/standin/bills"
 	"wasabislip.example/wasabislip/internal/standin/linedb"
 	"wasabislip.example/wasabislip/internal/standin/memnet"
 	"wasabislip.example/wasabislip/internal/standin/rowsrv"
@@ -46,6 +47,12 @@
 	// settleTime is longer than any call or timer of the stand-ins, so that
 	// none is left when Close returns.
 	settleTime = 5 * time.Second
+	// ReportWindow, UsageDelay, UsageTolerance and leaseDuration are the parameters of
+	// the usage reports.
+	ReportWindow   = 5 * time.Second
+	UsageDelay     = 10 * time.Second
+	UsageTolerance = 0.05
+	leaseDuration  = 3 * time.Second
 	// GracePeriod is how long a planned stop of a host may take.
 	GracePeriod = 6 * time.Second
 )
@@ -78,6 +85,10 @@
 	// Group holds the instances of the only service: i-1, the first primary, and
 	// the replicas i-2 and i-3.
 	Group *linedb.Group
+	// Bills takes usage reports. ReportsUsage enables them; it is set before the hosts
+	// start.
+	Bills        *bills.Bills
+	ReportsUsage bool
 
 	mu      sync.Mutex
 	config  map[string]any
@@ -119,6 +130,7 @@
 			Slots:         3,
 			Connections:   22,
 		},
+		Bills:        bills.New(leaseDuration),
 		hosts:        map[string]*process{},
 		draining:     map[string]bool{},
 		heartbeatOff: map[string]bool{},
@@ -130,7 +142,10 @@
 		}
 	}
 	e.serve(StoreAddress, e.Store)
-	e.serve(orderAddress, e.Group)
+	orders := http.NewServeMux()
+	orders.Handle("/usage", e.Bills)
+	orders.Handle("/", e.Group)
+	e.serve(orderAddress, orders)
 	for i, dc := range dataCentres {
 		e.addInstance(i, dc)
 	}
@@ -374,25 +389,32 @@
 		network: e.Net,
 		ip:      ip,
 	}
+	settings := &conf.Settings{
+		Host:           fmt.Sprintf("host-%d", i),
+		DataCentre:     dc,
+		CallerAddress:  ip + callerPort,
+		ReadyAddress:   ip + readyPort,
+		PeerAddress:    ip + peerPort,
+		RunAddress:     ip + runPort,
+		MetricsAddress: ip + metricsPort,
+		Seeds:          HostIP(0) + peerPort,
+		StoreAddress:   StoreAddress,
+		OrderAddress:   orderAddress,
+		GracePeriod:    GracePeriod,
+		RateWindow:     5 * time.Second,
+		RateOverage:    0.1,
+		RateTolerance:  20,
+		MemoryMB:       284,
+		MaxFiles:       4200,
+	}
+	if e.ReportsUsage {
+		settings.ReportWindow = ReportWindow
+		settings.UsageDelay = UsageDelay
+		settings.UsageTolerance = UsageTolerance
+		settings.LeaseDuration = leaseDuration
+	}
 	h := &edge.Host{
-		Settings: &conf.Settings{
-			Host:           fmt.Sprintf("host-%d", i),
-			DataCentre:     dc,
-			CallerAddress:  ip + callerPort,
-			ReadyAddress:   ip + readyPort,
-			PeerAddress:    ip + peerPort,
-			RunAddress:     ip + runPort,
-			MetricsAddress: ip + metricsPort,
-			Seeds:          HostIP(0) + peerPort,
-			StoreAddress:   StoreAddress,
-			OrderAddress:   orderAddress,
-			GracePeriod:    GracePeriod,
-			RateWindow:     5 * time.Second,
-			RateOverage:    0.1,
-			RateTolerance:  20,
-			MemoryMB:       284,
-			MaxFiles:       4200,
-		},
+		Settings: settings,
 		Store: &pausingStore{
 			Client: rows.New(StoreAddress, network.Dial),
 			env:    e,
