--- a/internal/standin/bills/bills.go
+++ b/internal/standin/bills/bills.go
@@ -17,12 +17,17 @@
 // hangTime is how long a call without an answer hangs; clients time out earlier.
 const hangTime = 3 * time.Second
 
+// slowTime is how long a slow call takes before the report is taken.
+const slowTime = time.Second
+
 // Faults of a call.
 const (
 	// Busy answers status 429 and does nothing.
 	Busy = "busy"
 	// Silent never answers and does nothing.
 	Silent = "silent"
+	// Slow takes the report after slowTime and answers then.
+	Slow = "slow"
 	// AnswerLost takes the report and never answers.
 	AnswerLost = "lost"
 )
@@ -131,6 +136,8 @@
 	case Silent:
 		time.Sleep(hangTime)
 		panic(http.ErrAbortHandler)
+	case Slow:
+		time.Sleep(slowTime)
 	}
 	status := b.Take(report.Window, report.Counts, r.Header.Get("X-Wasabislip-Lease-Holder"), token)
 	if fault == AnswerLost {
