--- a/internal/services/billing/billing_test.go
+++ b/internal/services/billing/billing_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"wasabislip.example/wasabislip/internal/models/usage"
+	"wasabislip.example/wasabislip/internal/services/mirror"
 	"wasabislip.example/wasabislip/internal/standin/bills"
 	"wasabislip.example/wasabislip/internal/standin/rowsrv"
 )
@@ -15,7 +17,8 @@
 // runTime is the length of a random schedule, after which the faults end.
 var runTime = flag.Duration("billing.time", 45*time.Second, "length of a random schedule")
 
-// event is what happens to one host, to the store or to the API.
+// event is what happens to one host, to the store or to the API. A negative host stands
+// for the holder.
 type event struct {
 	After  time.Duration
 	Kind   string
@@ -26,7 +29,8 @@
 // faults are the kinds of events, those that come often more than once.
 var faults = []string{
 	"kill", "kill", "stop", "start", "start", "start", "suspend", "suspend", "suspend",
-	"store-late", "store-lost", "store-busy", "api-lost", "api-slow", "api-busy", "api-silent", "restore",
+	"store-late", "store-lost", "store-busy", "api-lost", "api-slow", "api-busy", "api-busy", "api-silent",
+	"restore", "restore",
 }
 
 // drawEvents draws a schedule.
@@ -35,7 +39,7 @@
 		return event{
 			After:  time.Duration(rapid.IntRange(0, 4000).Draw(rt, "after")) * time.Millisecond,
 			Kind:   rapid.SampledFrom(faults).Draw(rt, "kind"),
-			Host:   rapid.IntRange(0, hosts-1).Draw(rt, "host"),
+			Host:   rapid.IntRange(-hosts, hosts-1).Draw(rt, "host"),
 			Length: time.Duration(rapid.IntRange(100, 6000).Draw(rt, "length")) * time.Millisecond,
 		}
 	}), 1, 40).Draw(rt, "events")
@@ -43,6 +47,9 @@
 
 // apply makes an event happen.
 func (w *world) apply(e event) {
+	if e.Host < 0 {
+		e.Host = max(0, w.holder())
+	}
 	switch e.Kind {
 	case "kill":
 		w.kill(e.Host)
@@ -103,9 +110,10 @@
 		hosts := rapid.IntRange(2, 4).Draw(rt, "hosts")
 		duel := rapid.Bool().Draw(rt, "duel")
 		events := drawEvents(rt, hosts)
+		p := rapid.SampledFrom([]usage.Params{params, shortParams}).Draw(rt, "params")
 		var violations []string
 		var before, after int
-		run(t, hosts, func(w *world) {
+		run(t, p, hosts, func(_ *testing.T, w *world) {
 			w.duel = duel
 			time.Sleep(8 * time.Second)
 			began := time.Now()
@@ -138,8 +146,188 @@
 	})
 }
 
-// check checks what must hold in every script.
-func check(is *is.I, w *world) {
+// report returns the window that the platform got last, and its counts.
+func (w *world) report() (uint64, map[string]uint64) {
+	last := uint64(0)
+	reports := w.bills.Reports()
+	for window := range reports {
+		last = max(last, window)
+	}
+	return last, reports[last].Counts
+}
+
+// record returns the record in the store.
+func (w *world) record() usage.Record {
+	r, _ := usage.DecodeRecord(w.store.Get(mirror.Fleet, mirror.UsageKey))
+	return r
+}
+
+// await waits until a condition holds, for 15 s at most.
+func await(is *is.I, what func() bool) {
 	is.Helper()
-	is.Equal(w.bills.Violations(), []string(nil))
+	for range 300 {
+		if what() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Fail()
+}
+
+// awaitFinal waits until a window becomes final while the platform takes no report, and
+// returns the holder.
+func (w *world) awaitFinal(is *is.I) (holder int, window uint64) {
+	is.Helper()
+	w.bills.SetFault(func() string { return bills.Busy })
+	window = w.record().Final
+	await(is, func() bool { return w.record().Final > window })
+	return w.holder(), w.record().Final
+}
+
+// TestFailures plays each failure of docs/design/usage.md by itself.
+func TestFailures(t *testing.T) {
+	play := func(what string, script func(is *is.I, w *world)) {
+		t.Run(what, func(t *testing.T) {
+			run(t, params, 3, func(t *testing.T, w *world) {
+				is := is.New(t)
+				time.Sleep(12 * time.Second)
+				script(is, w)
+				w.bills.SetFault(nil)
+				w.store.SetFault(nil)
+				before := len(w.bills.Reports())
+				time.Sleep(25 * time.Second)
+				is.True(len(w.bills.Reports()) >= before+4) // reports go on
+				is.Equal(w.bills.Violations(), []string(nil))
+			})
+		})
+	}
+	play("the holder dies before a window is final: the successor reports it in time", func(is *is.I, w *world) {
+		former, window := w.holder(), w.record().Final+1
+		time.Sleep(time.Until(params.End(window)) + time.Second)
+		w.kill(former)
+		await(is, func() bool { return w.bills.Reports()[window].Holder != "" })
+		is.True(w.holder() != former)
+		is.True(w.bills.Reports()[window].At.Sub(params.End(window)) <= params.Delay)
+	})
+	play("the holder dies between the store and the platform: the successor sends its content", func(is *is.I, w *world) {
+		former, window := w.awaitFinal(is)
+		w.kill(former)
+		w.bills.SetFault(nil)
+		await(is, func() bool { return w.bills.Reports()[window].Holder != "" })
+		is.True(w.holder() != former)
+	})
+	play("the holder dies after its report was taken without an answer: the successor repeats it", func(is *is.I, w *world) {
+		former, window := w.awaitFinal(is)
+		w.bills.SetFault(func() string { return bills.AnswerLost })
+		await(is, func() bool { return w.bills.Reports()[window].Holder != "" })
+		w.kill(former)
+		w.bills.SetFault(nil)
+		calls := w.bills.Calls()
+		await(is, func() bool { return w.bills.Calls() > calls })
+		is.True(w.bills.Holder() != w.bills.Reports()[window].Holder)
+	})
+	play("the store is away: later windows follow in order, none is sent before it is final", func(is *is.I, w *world) {
+		final := w.record().Final
+		w.store.SetFault(func(string, bool) string { return rowsrv.Busy })
+		time.Sleep(22 * time.Second)
+		last, _ := w.report()
+		is.True(last <= final)
+		w.store.SetFault(nil)
+		await(is, func() bool { last, _ := w.report(); return last >= final+4 })
+		for window := final + 1; window <= final+4; window++ {
+			is.True(w.bills.Reports()[window].Holder != "")
+		}
+	})
+	play("the platform is away: it is asked once a second at most, and gets all windows", func(is *is.I, w *world) {
+		_, window := w.awaitFinal(is)
+		refused := 0
+		w.bills.SetFault(func() string { refused++; return bills.Busy })
+		time.Sleep(22 * time.Second)
+		is.True(refused >= 10 && refused <= 23)
+		w.bills.SetFault(nil)
+		await(is, func() bool { last, _ := w.report(); return last >= window+4 })
+		for i := range uint64(5) {
+			is.True(w.bills.Reports()[window+i].Holder != "")
+		}
+	})
+	play("a holder that was suspended sends nothing once another may act", func(is *is.I, w *world) {
+		former, _ := w.awaitFinal(is)
+		w.suspend(former, 14*time.Second)
+		time.Sleep(5 * time.Second)
+		w.bills.SetFault(nil)
+		time.Sleep(8900 * time.Millisecond)
+		is.True(w.holder() >= 0)
+		calls := w.bills.Calls()
+		w.bills.SetFault(func() string { return bills.Slow })
+		time.Sleep(1500 * time.Millisecond) // it goes on
+		is.True(w.bills.Calls()-calls <= 1)
+	})
+	play("a holder that stops is replaced at once, and waits before it acts again", func(is *is.I, w *world) {
+		former := w.holder()
+		name := w.record().Holder
+		w.stop(former)
+		time.Sleep(500 * time.Millisecond)
+		w.start(former)
+		next := w.holder()
+		is.True(next >= 0 && next != former)
+		for i := range 3 { // nobody else could take over now
+			if i != former {
+				w.stop(i)
+			}
+		}
+		is.True(w.record().WasHolder(name))
+		time.Sleep(2 * time.Second)
+		is.Equal(w.holder(), -1)
+		await(is, func() bool { return w.holder() == former })
+		for i := range 3 {
+			w.start(i)
+		}
+	})
+	play("a release while a call may still arrive is none", func(is *is.I, w *world) {
+		former, _ := w.awaitFinal(is)
+		w.bills.SetFault(func() string { return bills.Silent })
+		time.Sleep(1500 * time.Millisecond)
+		name := w.record().Holder
+		w.stop(former)
+		is.Equal(w.record().Holder, name)
+		w.start(former)
+	})
+	play("a take-over that a restore undid is followed by a higher token", func(is *is.I, w *world) {
+		former := w.holder()
+		w.stop(former)
+		await(is, func() bool { return w.holder() >= 0 })
+		_, window := w.awaitFinal(is)
+		w.bills.SetFault(nil)
+		await(is, func() bool { return w.bills.Reports()[window].Holder != "" })
+		last := w.bills.Reports()[window]
+		age := time.Since(last.At) + 9*time.Second
+		w.kill(w.holder())
+		w.restore(age)
+		await(is, func() bool { return w.bills.Holder() != last.Holder })
+		is.True(w.record().Token >= 1<<32)
+	})
+	play("a window that a restore undid is not reported again", func(is *is.I, w *world) {
+		_, window := w.awaitFinal(is)
+		w.bills.SetFault(nil)
+		await(is, func() bool { return w.bills.Reports()[window].Holder != "" })
+		w.restore(2 * time.Second)
+		await(is, func() bool { last, _ := w.report(); return last > window })
+	})
+	play("a write that comes after a restore has no effect on what is sent", func(is *is.I, w *world) {
+		// The first write of a window is late, another one succeeds and its content is
+		// sent. Then a restore undoes it, and the late one is performed.
+		window := w.record().Final + 1
+		n := 0
+		w.store.SetFault(func(_ string, write bool) string {
+			if write {
+				n++
+			}
+			if write && n == 1 {
+				return rowsrv.Late
+			}
+			return ""
+		})
+		await(is, func() bool { return w.bills.Reports()[window].Holder != "" })
+		w.restore(300 * time.Millisecond)
+	})
 }
--- a/internal/services/billing/world_test.go
+++ b/internal/services/billing/world_test.go
@@ -35,6 +35,7 @@
 	settleTime = 5 * time.Second
 )
 
+// params are the parameters of the specification.
 var params = usage.Params{
 	Window:    5 * time.Second,
 	Delay:     10 * time.Second,
@@ -42,11 +43,20 @@
 	Tolerance: 0.05,
 }
 
+// shortParams give more windows and changes of holder in the same time.
+var shortParams = usage.Params{
+	Window:    time.Second,
+	Delay:     3 * time.Second,
+	Lease:     3 * time.Second,
+	Tolerance: 0.05,
+}
+
 // world is a store, the platform's API and some hosts that share them.
 type world struct {
-	net   *memnet.Network
-	store *rowsrv.Store
-	bills *bills.Bills
+	params usage.Params
+	net    *memnet.Network
+	store  *rowsrv.Store
+	bills  *bills.Bills
 	// duel makes each host take itself for the first in rank.
 	duel bool
 
@@ -72,11 +82,12 @@
 }
 
 // run runs a script in a world of some hosts that start one after the other.
-func run(t *testing.T, hosts int, script func(w *world)) {
+func run(t *testing.T, p usage.Params, hosts int, script func(t *testing.T, w *world)) {
 	t.Helper()
-	synctest.Test(t, func(*testing.T) {
+	synctest.Test(t, func(t *testing.T) {
 		uptime.Restart()
 		w := &world{
+			params:    p,
 			net:       memnet.New(100 * time.Microsecond),
 			store:     rowsrv.New(),
 			bills:     bills.New(params.Lease),
@@ -91,21 +102,26 @@
 		for i := range hosts {
 			w.start(i)
 		}
-		script(w)
-		close(w.stopped)
-		for i := range hosts {
-			w.kill(i)
-		}
-		for _, l := range w.listeners {
-			_ = l.Close()
-		}
-		w.net.Crash("10.0.0.1")
-		w.net.Crash("10.0.0.2")
-		w.running.Wait()
-		time.Sleep(settleTime)
+		defer w.close()
+		script(t, w)
 	})
 }
 
+// close ends all processes and waits for their calls.
+func (w *world) close() {
+	close(w.stopped)
+	for i := range w.hosts {
+		w.kill(i)
+	}
+	for _, l := range w.listeners {
+		_ = l.Close()
+	}
+	w.net.Crash("10.0.0.1")
+	w.net.Crash("10.0.0.2")
+	w.running.Wait()
+	time.Sleep(settleTime)
+}
+
 func (w *world) serve(address string, h http.Handler) {
 	l, err := w.net.Listen(address)
 	if err != nil {
@@ -149,7 +165,7 @@
 	p.mirror = mirror.New(store, noDecoder{}, p, "op", "servers")
 	p.reporter = &billing.Reporter{
 		Self:      p.self,
-		Params:    params,
+		Params:    w.params,
 		Clock:     p,
 		Directory: p,
 		Store:     store,
@@ -247,7 +263,7 @@
 				if r.IntN(3) == 0 {
 					continue
 				}
-				current := params.At(now)
+				current := w.params.At(now)
 				_ = to.reporter.Add(&usage.Message{
 					From:        from.self.Name,
 					Incarnation: from.self.Incarnation,
