Test counting, messages and late writes of the usage reports

The interval of messages also grows with their size, so that the holder gets 20 KB/s while it is below 2.5 s.

--- a/internal/models/usage/usage.go
+++ b/internal/models/usage/usage.go
@@ -120,6 +120,18 @@
 	Windows     []Content
 }
 
+// Size returns about how many bytes the message takes.
+func (m *Message) Size() int {
+	const fixed, each = 40, 8
+	n := fixed
+	for _, c := range m.Windows {
+		for name := range c.Counts {
+			n += len(name) + each
+		}
+	}
+	return n
+}
+
 // Check returns a fault that names the first invalid field; current is the present
 // window.
 func (m *Message) Check(current uint64) error {
--- a/internal/services/billing/billing.go
+++ b/internal/services/billing/billing.go
@@ -111,6 +111,8 @@
 	stopping bool
 	stopped  bool
 	stats    Stats
+	// messageSize is the size of the last message of another host.
+	messageSize int
 	// rowEra, rowVersion and rowSince are the version of the record and when this host
 	// first saw it.
 	rowEra     uint64
@@ -183,6 +185,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sums.Add(m)
+	if m.From != r.Self.Name {
+		r.messageSize = m.Size()
+	}
 	return nil
 }
 
@@ -275,7 +280,6 @@
 		EraOpen:     open,
 	}
 	alive := r.Hosts.Alive()
-	in.Interval = counts.Interval(len(alive) + 1)
 	if now, ok := r.Clock.Now(); ok {
 		in.Time = now
 		in.EraSince, _ = r.Clock.At(eraSince)
@@ -304,6 +308,7 @@
 	if first, ok := r.sums.First(); ok {
 		in.First = min(in.First, first)
 	}
+	in.Interval = counts.Interval(len(alive)+1, r.messageSize)
 	in.Stopping = r.stopping
 	in.Hold = r.hold
 	in.Uncertain = r.uncertain
--- a/internal/services/billing/billing_test.go
+++ b/internal/services/billing/billing_test.go
@@ -238,6 +238,20 @@
 			is.True(w.bills.Reports()[window].Holder != "")
 		}
 	})
+	play("a write has an effect without an answer: the content in the store is sent", func(is *is.I, w *world) {
+		window, n := w.record().Final+1, 0
+		w.store.SetFault(func(_ string, write bool) string {
+			if write {
+				n++
+			}
+			if write && n == 1 {
+				return rowsrv.AnswerLost
+			}
+			return ""
+		})
+		await(is, func() bool { return w.bills.Reports()[window].Holder != "" })
+		is.Equal(w.bills.Reports()[window].Token, uint64(1)) // of the same holder
+	})
 	play("the platform is away: it is asked once a second at most, and gets all windows", func(is *is.I, w *world) {
 		_, window := w.awaitFinal(is)
 		refused := 0
@@ -330,4 +344,17 @@
 		await(is, func() bool { return w.bills.Reports()[window].Holder != "" })
 		w.restore(300 * time.Millisecond)
 	})
+	play("a write from before a restore fails although its version was given out again", func(is *is.I, w *world) {
+		final := w.record().Final
+		await(is, func() bool { return w.record().Final == final+3 }) // enough writes to undo
+		held := w.holdWrite()
+		time.Sleep(time.Until(params.End(final + 4).Add(3500 * time.Millisecond)))
+		// Four writes are undone. Their versions go to the row of the new era, the removal
+		// of the former one, the take-over and the content of the first window.
+		w.restore(21 * time.Second)
+		await(is, func() bool { return w.record().Token >= 1<<32 })
+		last, _ := w.report()
+		await(is, func() bool { now, _ := w.report(); return now > last })
+		close(held)
+	})
 }
--- a/internal/services/billing/world_test.go
+++ b/internal/services/billing/world_test.go
@@ -31,6 +31,8 @@
 	apiAddress   = "10.0.0.2:1"
 	// openAfter is how long after a restore the new era is opened.
 	openAfter = 2700 * time.Millisecond
+	// gossipTime is how old copies of the tables are at least.
+	gossipTime = 250 * time.Millisecond
 	// settleTime is longer than any call.
 	settleTime = 5 * time.Second
 )
@@ -58,11 +60,12 @@
 	store  *rowsrv.Store
 	bills  *bills.Bills
 	// duel makes each host take itself for the first in rank.
-	duel bool
-
+	duel      bool
 	mu        sync.Mutex
 	hosts     []*process
 	suspended map[int]time.Time
+	// held holds up the next write to the store until it is closed; nil for none.
+	held      chan struct{}
 	eras      uint64
 	running   sync.WaitGroup
 	stopped   chan struct{}
@@ -95,7 +98,7 @@
 			suspended: map[int]time.Time{},
 			stopped:   make(chan struct{}),
 		}
-		w.serve(storeAddress, w.store)
+		w.serve(storeAddress, http.HandlerFunc(w.serveStore))
 		w.serve(apiAddress, w.bills)
 		w.store.Put(mirror.Fleet, "first", 1)
 		w.running.Go(w.sendCounts)
@@ -136,6 +139,31 @@
 	})
 }
 
+// serveStore passes a call on to the store; the next write is held up on its way if so
+// set.
+func (w *world) serveStore(a http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	held := w.held
+	if r.URL.Path == "/-/rows-tx" {
+		w.held = nil
+	} else {
+		held = nil
+	}
+	w.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+	w.store.ServeHTTP(a, r)
+}
+
+// holdWrite holds the next write to the store up until the channel is closed.
+func (w *world) holdWrite() chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held = make(chan struct{})
+	return w.held
+}
+
 // ip returns the IP address of a host.
 func ip(i int) string {
 	return fmt.Sprintf("10.1.0.%d", i+1)
@@ -162,7 +190,9 @@
 		Client: rows.New(storeAddress, w.net.Dialer(ip(i))),
 		gate:   p.gate,
 	}
-	p.mirror = mirror.New(store, noDecoder{}, p, "op", "servers")
+	p.mirror = mirror.New(&lateSource{
+		gatedStore: store,
+	}, noDecoder{}, p, "op", "servers")
 	p.reporter = &billing.Reporter{
 		Self:      p.self,
 		Params:    w.params,
@@ -311,7 +341,7 @@
 		if d <= 0 {
 			return
 		}
-		time.Sleep(d)
+		time.Sleep(min(d, 50*time.Millisecond))
 	}
 }
 
@@ -401,6 +431,26 @@
 	return s.Client.Write(ctx, expected, puts, deletes)
 }
 
+// lateSource is what a host's copies of the tables come from, some time later than they
+// are read: copies come by way of other hosts.
+type lateSource struct {
+	*gatedStore
+}
+
+// Read reads a table.
+func (s *lateSource) Read(ctx context.Context, table string) ([]tuple.Tuple, uint64, error) {
+	list, version, err := s.gatedStore.Read(ctx, table)
+	time.Sleep(gossipTime)
+	return list, version, err
+}
+
+// Watch waits for changes of a table.
+func (s *lateSource) Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]tuple.Tuple, uint64, error) {
+	list, version, err := s.gatedStore.Watch(ctx, table, after, wait)
+	time.Sleep(gossipTime)
+	return list, version, err
+}
+
 // noDecoder decodes no rows.
 type noDecoder struct{}
 
--- a/internal/services/counts/counts.go
+++ b/internal/services/counts/counts.go
@@ -27,6 +27,12 @@
 	// number of messages a second that the receiver gets in a large one.
 	minInterval = 500 * time.Millisecond
 	maxRate     = 200
+	// maxBytes is the number of bytes a second of messages that the receiver gets while
+	// the interval is below maxByteInterval: the control plane of a host has 25 KB/s.
+	// Longer intervals would lose more of the counts of a killed host, and the last
+	// ones of a window would come after its content is final.
+	maxBytes        = 20_000
+	maxByteInterval = 2500 * time.Millisecond
 	// callTimeout bounds one message and its answer.
 	callTimeout = time.Second
 )
@@ -81,6 +87,8 @@
 	// counts of a host that is killed are not lost if the holder is killed too, or is
 	// that host.
 	streams [2]stream
+	// size is the size of the last message.
+	size int
 	// leaving says that this host reports no more.
 	leaving bool
 }
@@ -96,9 +104,11 @@
 	failing   bool
 }
 
-// Interval returns the time between two messages of a host in a fleet of so many hosts.
-func Interval(hosts int) time.Duration {
-	return max(minInterval, time.Duration(hosts)*time.Second/maxRate)
+// Interval returns the time between two messages of a host in a fleet of so many hosts,
+// whose messages have a size in bytes.
+func Interval(hosts, size int) time.Duration {
+	bySize := time.Duration(hosts*size) * time.Second / maxBytes
+	return max(minInterval, time.Duration(hosts)*time.Second/maxRate, min(bySize, maxByteInterval))
 }
 
 // Run sends counts until ctx ends.
@@ -134,7 +144,7 @@
 func (s *Sender) interval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	interval := Interval(len(s.Hosts.Alive()) + 1)
+	interval := Interval(len(s.Hosts.Alive())+1, s.size)
 	if s.streams[0].failing {
 		return min(interval, callTimeout)
 	}
@@ -167,6 +177,7 @@
 		}
 		m := s.message(&s.streams[i], record.Final, current)
 		if len(m.Windows) > 0 {
+			s.size = m.Size()
 			calls.Go(func() {
 				s.deliver(ctx, &s.streams[i], m, current)
 			})
--- a/internal/services/runner/runner_test.go
+++ b/internal/services/runner/runner_test.go
@@ -11,6 +11,7 @@
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/task"
+	"wasabislip.example/wasabislip/internal/modules/count"
 	"wasabislip.example/wasabislip/internal/services/conns"
 	"wasabislip.example/wasabislip/internal/services/link"
 	"wasabislip.example/wasabislip/internal/services/runner"
@@ -21,6 +22,9 @@
 type instance struct {
 	pool  *conns.Pool
 	links []*simcon.Conn
+	// state and outcome are those of all answers.
+	state   int
+	outcome int
 }
 
 func (i *instance) Server(id string) (server.Server, bool) {
@@ -33,7 +37,8 @@
 
 func (i *instance) Dial(context.Context, string) (link.Link, error) {
 	c := &simcon.Conn{
-		State: reply.Open,
+		State:   i.state,
+		Outcome: i.outcome,
 	}
 	i.links = append(i.links, c)
 	return c, nil
@@ -42,7 +47,9 @@
 func TestRunner(t *testing.T) {
 	t.Run("a second transaction rolls the first one back", func(t *testing.T) {
 		is := is.New(t)
-		i := &instance{}
+		i := &instance{
+			state: reply.Open,
+		}
 		i.pool = conns.New(server.Server{
 			ID:    "i-1",
 			Slots: 3,
@@ -63,3 +70,47 @@
 		}
 	})
 }
+
+// TestCounts guards against reports that differ from what instances ran.
+func TestCounts(t *testing.T) {
+	count := func(what string, wanted uint64, state, outcome int, lost bool, workspace string, kinds ...int) {
+		t.Run(what, func(t *testing.T) {
+			is := is.New(t)
+			i := &instance{
+				state:   state,
+				outcome: outcome,
+			}
+			i.pool = conns.New(server.Server{
+				ID:    "i-1",
+				Slots: 3,
+			}, i)
+			i.pool.Resize(10, 1)
+			r := runner.New(i, i)
+			r.Counter = count.New(time.Hour)
+			r.Counter.SetTime(time.Unix(1800, 0))
+			for n, kind := range kinds {
+				if lost && n == len(kinds)-1 && n > 0 {
+					i.links[0].CloseFromPeer()
+				}
+				_, _ = r.Do(t.Context(), &task.Task{
+					Kind:      kind,
+					Instance:  "i-1",
+					Workspace: workspace,
+					Deadline:  time.Now().Add(time.Second),
+				})
+			}
+			r.Close()
+			is.Equal(r.Counter.Window(0, false)[workspace], wanted)
+		})
+	}
+	count("a statement outside of a transaction", 1, reply.Idle, reply.Done, false, "one", task.Autocommit)
+	count("the first statement of a transaction after its begin", 1, reply.Open, reply.Done, false, "one", task.Begin, task.InTransaction, task.InTransaction)
+	count("each transaction", 2, reply.Open, reply.Done, false, "one", task.Begin, task.InTransaction, task.Begin, task.InTransaction)
+	count("a transaction without a statement does not count", 0, reply.Open, reply.Done, false, "one", task.Begin)
+	count("a statement that failed", 1, reply.Idle, reply.Failed, false, "one", task.Autocommit)
+	count("a lost response", 1, reply.Open, reply.Done, true, "one", task.Begin, task.InTransaction)
+	count("callers without a key are nobody's usage", 0, reply.Idle, reply.Done, false, "-", task.Autocommit)
+	for _, outcome := range []int{reply.Busy, reply.Lagging, reply.NotPrimary, reply.UnknownName, reply.TooManyConnections} {
+		count("not counted: "+reply.OutcomeName(outcome), 0, reply.Idle, outcome, false, "one", task.Autocommit)
+	}
+}
--- a/internal/standin/simcon/simcon.go
+++ b/internal/standin/simcon/simcon.go
@@ -19,6 +19,8 @@
 	RefuseSessions bool
 	// State is the session's state in all answers.
 	State int
+	// Outcome is the outcome of all answers.
+	Outcome int
 	// SentKinds holds the kinds of the statements that were sent.
 	SentKinds []int
 
@@ -62,7 +64,8 @@
 		return reply.Reply{}, errors.New("the connection was reset")
 	}
 	return reply.Reply{
-		State: c.State,
+		State:   c.State,
+		Outcome: c.Outcome,
 	}, nil
 }
 
