Keep hosts that have just started from reporting usage

They take themselves for the first in rank until they hear of the others, and a whole fleet would write to the store at its start. The part of a stop that waits for a release leaves time for the removal of the registration.

--- a/internal/models/duty/duty.go
+++ b/internal/models/duty/duty.go
@@ -36,6 +36,10 @@
 // send their counts again: they learn of it by gossip.
 const settleMargin = 500 * time.Millisecond
 
+// joinTime is how long after its start a host does not take over: until it has heard of
+// the others it takes itself for the first in rank.
+const joinTime = 2 * time.Second
+
 // Hold is what a holder knows of its own record.
 type Hold struct {
 	// Record is the record as it was last written, at this version.
@@ -58,6 +62,8 @@
 	// known yet.
 	Uptime time.Duration
 	Time   time.Time
+	// Started is the start of this process on the clock of uptime.
+	Started time.Duration
 	// First is the first window of which this host has counts.
 	First uint64
 	// Rank is how many live hosts come before this one.
@@ -239,6 +245,8 @@
 		return wait("era-not-open")
 	case in.Time.IsZero():
 		return wait("time-unknown")
+	case in.Uptime-in.Started < joinTime:
+		return wait("joining")
 	}
 	unchanged := in.Uptime - in.RowSince
 	delay := time.Duration(in.Rank) * in.Params.RankDelay()
--- a/internal/routers/edge/usage.go
+++ b/internal/routers/edge/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
@@ -87,11 +88,17 @@
 	})
 }
 
-// finish sends the last counts, and waits until another host may report.
+// finish sends the last counts, and waits until another host may report. It leaves most
+// of the time to what comes after it.
 func (u *usageReports) finish(ctx context.Context) {
 	if u == nil {
 		return
 	}
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(end)/3)
+		defer cancel()
+	}
 	u.reporter.Stop(ctx)
 	u.sender.Send(ctx)
 }
--- a/internal/services/billing/billing.go
+++ b/internal/services/billing/billing.go
@@ -118,10 +118,12 @@
 	rowEra     uint64
 	rowVersion uint64
 	rowSince   time.Duration
-	// startWindow is the window of the first decision.
-	startWindow uint64
-	hold        *duty.Hold
-	uncertain   bool
+	// started is when the first decision was made. eraVersion is the version of the row
+	// that opens the era of the last one.
+	started    time.Duration
+	eraVersion uint64
+	hold       *duty.Hold
+	uncertain  bool
 	// pausedUntil is until when the store is not called, after a failure.
 	pausedUntil time.Duration
 	// undelivered are the contents that the store holds as final under hold and that
@@ -266,7 +268,7 @@
 	row := r.Directory.Usage()
 	era, eraSince := r.Directory.EraSince(mirror.Fleet)
 	open, eraRow := r.Directory.EraOpen()
-	if row.Version != 0 && tuple.Era(row.Version) != era || eraRow != 0 && tuple.Era(eraRow) != era {
+	if row.Version != 0 && tuple.Era(row.Version) != era || open && era > 0 && tuple.Era(eraRow) != era {
 		return nil, false // the copy is being replaced
 	}
 	in := &duty.Input{
@@ -287,7 +289,7 @@
 	if row.Version != 0 {
 		record, err := usage.DecodeRecord(row.Value)
 		if err != nil {
-			klog.ErrorS(err, "no usage is reported until the row is removed from the store", "table", mirror.Fleet, "key", mirror.UsageKey, "version", row.Version)
+			klog.ErrorS(err, "no usage is reported until the row is valid again; its token must be above all earlier ones", "table", mirror.Fleet, "key", mirror.UsageKey, "version", row.Version)
 			return nil, false
 		}
 		in.Row = record
@@ -301,10 +303,14 @@
 		r.rowSince = in.Uptime
 	}
 	in.RowSince = r.rowSince
-	if !in.Time.IsZero() && r.startWindow == 0 {
-		r.startWindow = r.Params.At(in.Time)
+	r.eraVersion = eraRow
+	if r.started == 0 {
+		r.started = in.Uptime
+	}
+	in.Started = r.started
+	if !in.Time.IsZero() {
+		in.First = r.Params.At(in.Time.Add(r.started - in.Uptime))
 	}
-	in.First = r.startWindow
 	if first, ok := r.sums.First(); ok {
 		in.First = min(in.First, first)
 	}
@@ -373,6 +379,7 @@
 		defer r.mu.Unlock()
 		r.undelivered = list
 		r.stats.Takeovers++
+		klog.InfoS("usage: this host reports", "token", d.Record.Token, "final", d.Record.Final, "undelivered", len(list))
 	}
 }
 
@@ -496,11 +503,13 @@
 // eraRow returns the row that a write expects so that it fails if it comes late, after
 // the store was restored and a later era was opened; see docs/design/restored-store.md.
 func (r *Reporter) eraRow(era uint64) tuple.Tuple {
-	if _, version := r.Directory.EraOpen(); version != 0 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.eraVersion != 0 {
 		return tuple.Tuple{
 			Table:   mirror.Fleet,
 			Key:     mirror.EraKey(era),
-			Version: version,
+			Version: r.eraVersion,
 		}
 	}
 	return tuple.Tuple{
@@ -571,6 +580,9 @@
 func (r *Reporter) giveUp() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.hold != nil {
+		klog.InfoS("usage: this host does not report any more", "token", r.hold.Record.Token, "final", r.hold.Record.Final, "undelivered", len(r.undelivered))
+	}
 	r.hold = nil
 	r.uncertain = false
 	r.undelivered = nil
--- a/internal/services/wall/wall.go
+++ b/internal/services/wall/wall.go
@@ -2,6 +2,7 @@
 package wall
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -55,5 +56,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	own := time.Duration(time.Now().UnixNano()) - now
-	return w.clock.Offset(now, own, w.fleet.Clocks(), max(1, len(w.directory.Registered())))
+	hosts := len(w.directory.Registered())
+	if hosts == 0 {
+		hosts = math.MaxInt // not known yet
+	}
+	return w.clock.Offset(now, own, w.fleet.Clocks(), hosts)
 }
--- a/internal/standin/simenv/usage_test.go
+++ b/internal/standin/simenv/usage_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"wasabislip.example/wasabislip/internal/services/mirror"
 	"wasabislip.example/wasabislip/internal/standin/bills"
 	"wasabislip.example/wasabislip/internal/standin/simenv"
 )
@@ -175,3 +176,12 @@
 		})
 	})
 }
+
+// TestNoUsageReports guards against rows and calls where the reports are off.
+func TestNoUsageReports(t *testing.T) {
+	runScript(t, 3, func(is *is.I, env *simenv.Environment) {
+		time.Sleep(15 * time.Second)
+		is.Equal(env.Bills.Calls(), 0)
+		is.Equal(env.Store.Get(mirror.Fleet, mirror.UsageKey), []byte(nil))
+	})
+}
