Leave parts of a rate to the hosts that its home does not hear from

Hosts reported only the demand that their own parts decided. Hosts that got no answer from a slow home therefore shared the whole rate, and the home granted the whole rate to its own callers beside them.

A host now reports the demand of all its callers, and after it the demand that its own part decides, where there is any. The parts follow the former. A home leaves the parts of the hosts that report to go by them, and of those that neither ask nor report yet although they have demand, and counts in a sliding window what it granted and what the parts may have admitted. A part follows a rising demand before other hosts know of it, up to the size of the part.

--- a/internal/models/bucket/bucket.go
+++ b/internal/models/bucket/bucket.go
@@ -53,6 +53,11 @@
 	b.tokens = min(b.tokens, burst)
 }
 
+// Rate returns the rate in tokens a second.
+func (b *Bucket) Rate() float64 {
+	return b.rate
+}
+
 // Take takes one token if reserve others are left after it. A caller that can
 // wait may get a future token; it must not proceed before after has passed. If
 // there is no token within wait, ok is false and after is when to try again.
--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	"wasabislip.example/wasabislip/internal/models/bucket"
 	"wasabislip.example/wasabislip/internal/models/permit"
 	"wasabislip.example/wasabislip/internal/models/policy"
+	"wasabislip.example/wasabislip/internal/models/slide"
 	"wasabislip.example/wasabislip/pkg/model/host"
 	"wasabislip.example/wasabislip/pkg/model/space"
 )
@@ -51,6 +53,17 @@
 	// minBurst is the least burst of a host's local bucket in a fleet of any
 	// size: a lower one would refuse operations that arrive together by chance.
 	minBurst = 2
+	// askedWindow is the time span in which a home compares the operations that it is
+	// asked for with the demand that the other hosts report. It is shorter than the
+	// time in which a silent host is noticed (2.8 s), and long enough to tell a fall
+	// from chance at 10 operations a second.
+	askedWindow = 500 * time.Millisecond
+	// reportDelay is how long it takes until a home knows that a host goes by its
+	// part: the average of the demand and some exchanges between hosts.
+	reportDelay = time.Second
+	// demandError is the relative error of a reported demand: its encoding and the
+	// larger of two averages.
+	demandError = 0.15
 )
 
 // homes finds the homes of workspaces and asks them for tokens.
@@ -101,12 +114,14 @@
 type usage struct {
 	// declared is the workspace as it stands in the configuration.
 	declared space.Workspace
-	// localDemand is the demand on the local bucket, which holds this host's
-	// share of the rate.
-	localDemand demand
-	localBucket bucket.Bucket
-	// localRate is this host's share of the rate, and otherDemand the demand on
-	// the other hosts, both as of the last UpdateShares.
+	// callerDemand is the demand of this host's own callers, and localDemand the
+	// part of it that the local bucket decides, which holds this host's share of
+	// the rate.
+	callerDemand demand
+	localDemand  demand
+	localBucket  bucket.Bucket
+	// localRate is this host's share of the rate, and otherDemand the demand of
+	// the callers of other hosts, both as of the last UpdateShares.
 	localRate   float64
 	otherDemand float64
 	// homeDemand is what all hosts ask this one for as the home, and homeBucket
@@ -116,6 +131,26 @@
 	homeBucket    bucket.Bucket
 	heardFraction float64
 	homeUntil     time.Time
+	// asked counts what other hosts ask this one for, granted what this host granted
+	// as the home, and elsewhere what other hosts admitted by their parts, as far as
+	// they report it.
+	asked     slide.Window
+	granted   slide.Window
+	elsewhere slide.Window
+	// leave is what the home leaves to hosts that go by their parts, as of updatedAt,
+	// the last UpdateShares.
+	leave     leave
+	updatedAt time.Time
+}
+
+// leave is what a home leaves of a rate to hosts that go by their parts.
+type leave struct {
+	// reported is the sum of the parts of hosts that report to go by them.
+	reported float64
+	// expected is the demand of the callers of the hosts that report to ask the
+	// home, and parts the sum of the parts of these hosts.
+	expected float64
+	parts    float64
 }
 
 func (r *Rates) shard(workspace string) *shard {
@@ -128,12 +163,13 @@
 // after has passed. For a refused operation, after is when to retry, and why
 // explains the refusal.
 func (r *Rates) Admit(ctx context.Context, workspace string, request permit.Request) (ok bool, after time.Duration, why string) {
+	r.countCaller(workspace)
 	if r.Homes == nil {
 		return r.admitLocally(workspace, request)
 	}
 	home, elsewhere := r.Homes.Home(workspace)
 	if !elsewhere {
-		return r.Grant(workspace, request)
+		return r.grant(workspace, request, false)
 	}
 	ok, after, why, err := r.Homes.RequestPermit(ctx, home, workspace, request)
 	if err == nil {
@@ -142,8 +178,25 @@
 	return r.admitLocally(workspace, request)
 }
 
-// Grant takes one token from the bucket of a workspace whose home is this host.
+// countCaller counts an operation of this host's own callers.
+func (r *Rates) countCaller(workspace string) {
+	s := r.shard(workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w, known := s.workspaces[workspace]; known {
+		w.callerDemand.add(time.Now())
+	}
+}
+
+// Grant takes one token for another host from the bucket of a workspace whose home is
+// this host.
 func (r *Rates) Grant(workspace string, request permit.Request) (ok bool, after time.Duration, why string) {
+	return r.grant(workspace, request, true)
+}
+
+// grant takes one token from the bucket of a workspace whose home is this host. remote
+// says that another host asks.
+func (r *Rates) grant(workspace string, request permit.Request, remote bool) (ok bool, after time.Duration, why string) {
 	s := r.shard(workspace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,15 +205,32 @@
 		return false, unknownRetryAfter, "its rate is not known yet"
 	}
 	now := time.Now()
+	if remote {
+		w.asked.Add(now, 1)
+	}
 	w.homeDemand.add(now)
 	w.homeDemand.average(now)
 	exceeded := w.homeDemand.exceededFor(now, w.homeDemand.current > w.declared.Rate)
 	r.fillHomeBucket(w, now, exceeded)
+	allowed := r.allocated(w.declared)
+	used := w.granted.Sum(now) + w.elsewhere.Sum(now)
+	if used+1 > allowed {
+		after = max(w.granted.Wait(now, 1), time.Millisecond)
+		return false, after, r.explain(w, now, "window", allowed)
+	}
 	ok, after = take(&w.homeBucket, now, request, exceeded >= sustainedAfter)
 	if !ok {
-		why = fmt.Sprintf("rate %.1f, asked for %.1f at its home", w.declared.Rate, w.homeDemand.current)
+		return false, after, r.explain(w, now, "bucket", allowed)
 	}
-	return ok, after, why
+	w.granted.Add(now, 1)
+	return true, after, ""
+}
+
+// explain returns the figures that a home refused an operation by; what is the limit
+// that decided.
+func (r *Rates) explain(w *usage, now time.Time, what string, allowed float64) string {
+	return fmt.Sprintf("rate %.1f, asked for %.1f at its home, refused by the %s: in %v granted %.0f and %.0f by parts, allowed %.0f, refilled at %.1f",
+		w.declared.Rate, w.homeDemand.current, what, r.Window, w.granted.Sum(now), w.elsewhere.Sum(now), allowed, w.homeBucket.Rate())
 }
 
 // take takes one token for a request. A short peak is spread over time: requests of
@@ -193,21 +263,30 @@
 	return ok, after, why
 }
 
-// Demands returns the demands on the local buckets, encoded as one byte for each
-// workspace of the policy in the order of names, and the policy's version.
+// Demands returns, for each workspace of the policy in the order of names, the demand
+// of this host's callers, encoded as one byte, and the policy's version. If the local
+// bucket decides any operations, the demands on the local buckets follow, one byte for
+// each workspace; a host of an earlier build ignores them.
 func (r *Rates) Demands() (demands []byte, version uint64) {
 	names, version := r.workspaceOrder()
 	now := time.Now()
-	demands = make([]byte, len(names))
+	demands = make([]byte, 2*len(names))
+	local := false
 	for i, name := range names {
 		s := r.shard(name)
 		s.mu.Lock()
 		if w, ok := s.workspaces[name]; ok {
+			w.callerDemand.average(now)
 			w.localDemand.average(now)
-			demands[i] = bucket.EncodeDemand(w.localDemand.current)
+			demands[i] = bucket.EncodeDemand(w.callerDemand.current)
+			demands[len(names)+i] = bucket.EncodeDemand(w.localDemand.current)
+			local = local || demands[len(names)+i] > 0
 		}
 		s.mu.Unlock()
 	}
+	if r.Homes == nil || !local {
+		demands = demands[:len(names)]
+	}
 	return demands, version
 }
 
@@ -243,28 +322,101 @@
 		s.mu.Lock()
 		w, ok := s.workspaces[name]
 		if !ok {
-			w = &usage{}
-			w.localDemand.start(now)
-			w.homeDemand.start(now)
+			w = r.newUsage(now)
 			s.add(name, w)
 		}
-		w.localDemand.average(now)
-		own := bucket.DecodeDemand(bucket.EncodeDemand(w.localDemand.settled))
+		w.callerDemand.average(now)
+		own := bucket.DecodeDemand(bucket.EncodeDemand(w.callerDemand.settled))
+		all := othersDemand + own
 		hosts := max(len(others)+1, size)
-		rate, burst := r.budget(declared, w.localDemand.exceededFor(now, othersDemand+own > declared.Rate) >= r.Window)
+		rate, burst := r.budget(declared, w.callerDemand.exceededFor(now, all > declared.Rate) >= r.Window)
 		// Hosts whose demands are not known keep an even share each.
 		knownRate := rate * float64(known) / float64(hosts)
-		localRate := bucket.HostRate(knownRate, own, othersDemand+own, known)
+		localRate := bucket.HostRate(knownRate, own, all, known)
+		// A demand that has risen less than this part is used before others know of it:
+		// the parts of hosts whose demands rise together would else sum up to less than
+		// the rate.
+		if risen := min(w.callerDemand.current, localRate); risen > own && othersDemand+risen <= declared.Rate {
+			localRate = bucket.HostRate(knownRate, risen, othersDemand+risen, known)
+		}
 		w.declared = declared
 		w.heardFraction = min(1, float64(alive)/float64(hosts))
 		w.localRate = localRate
 		w.otherDemand = othersDemand
 		w.localBucket.SetRate(now, localRate, r.localBurst(burst, hosts))
+		r.updateLeave(w, now, partsOf(others, i, len(names), knownRate, all, known))
 		r.placeHomeBucket(name, w, now)
 		s.mu.Unlock()
 	}
 }
 
+// newUsage returns the state of a workspace that is new to this host.
+func (r *Rates) newUsage(now time.Time) *usage {
+	w := &usage{
+		asked: slide.Window{
+			Length: askedWindow,
+		},
+		granted: slide.Window{
+			Length: r.Window,
+		},
+		elsewhere: slide.Window{
+			Length: r.Window,
+		},
+		updatedAt: now,
+	}
+	w.callerDemand.start(now)
+	w.localDemand.start(now)
+	w.homeDemand.start(now)
+	return w
+}
+
+// partsOf returns what a home leaves of a rate to the hosts that reported demands, for
+// the workspace at index i of n; all is the demand of all hosts, this one included.
+func partsOf(others [][]byte, i, n int, rate, all float64, known int) leave {
+	var l leave
+	for _, demands := range others {
+		if i >= len(demands) {
+			continue
+		}
+		total := bucket.DecodeDemand(demands[i])
+		local := 0.0
+		if n+i < len(demands) {
+			local = bucket.DecodeDemand(demands[n+i])
+		}
+		part := bucket.HostRate(rate, total, all, known)
+		fraction := 0.0 // of the host's operations that its part decides
+		if local > 0 {
+			fraction = min(1, local/max(total, local))
+		}
+		l.reported += part * fraction
+		l.expected += total * (1 - fraction)
+		l.parts += part * (1 - fraction)
+	}
+	return l
+}
+
+// updateLeave records what this host leaves to others as the home, and counts what they
+// may have admitted since the last call. What they began to admit before they could
+// report it is counted once they report it.
+func (r *Rates) updateLeave(w *usage, now time.Time, next leave) {
+	w.elsewhere.Add(now, next.reported*now.Sub(w.updatedAt).Seconds()+
+		max(0, next.reported-w.leave.reported)*reportDelay.Seconds())
+	w.leave = next
+	w.updatedAt = now
+}
+
+// missing returns the sum of the parts of hosts that neither ask this home nor report
+// yet that they go by their parts: the operations asked for lately are fewer than the
+// demand that these hosts report, by more than chance and the error of the reports.
+func (w *usage) missing(now time.Time) float64 {
+	expected := w.leave.expected * askedWindow.Seconds()
+	if expected <= 0 {
+		return 0
+	}
+	asked := w.asked.Sum(now) + 2*math.Sqrt(expected) + demandError*expected
+	return w.leave.parts * max(0, 1-asked/expected)
+}
+
 // placeHomeBucket begins to fill the bucket of a workspace whose home this host has
 // become, and drops it once the home is another host: the tokens saved up in it are
 // granted by the new home, and this host must not grant them again when it becomes
@@ -296,7 +448,8 @@
 	}
 	w.homeBucket.Init(now, max(minInitialTokens, initial))
 	burst -= reservedMoves * reserve
-	w.homeBucket.SetRate(now, rate*w.heardFraction, max(1, burst*w.heardFraction))
+	rate = min(rate*w.heardFraction, max(0, rate-w.leave.reported-w.missing(now)))
+	w.homeBucket.SetRate(now, rate, max(1, burst*w.heardFraction))
 }
 
 // initialTokens returns how many operations a new home may grant at once, although the
@@ -326,12 +479,16 @@
 // has been exceeded for a whole window.
 func (r *Rates) budget(w space.Workspace, spread bool) (rate, burst float64) {
 	window := r.Window.Seconds()
-	allowed := (w.Rate*window+w.Burst)*(1+r.Overage) + r.Tolerance
 	rate = w.Rate
 	if spread {
 		rate += w.Burst / window
 	}
-	return rate, max(0, allocatedFraction*allowed-rate*window)
+	return rate, max(0, r.allocated(w)-rate*window)
+}
+
+// allocated returns how many operations all hosts together admit in any window.
+func (r *Rates) allocated(w space.Workspace) float64 {
+	return allocatedFraction * ((w.Rate*r.Window.Seconds()+w.Burst)*(1+r.Overage) + r.Tolerance)
 }
 
 // setPolicy takes a new policy, removes the workspaces that it does not name, and
