Keep the bound of a rate while hosts leave, disagree or are cut off

Found by a simulation of random faults (TestBound): a host that stops took itself for the home of its workspaces until it ended, beside the next home; a host that is not the home granted the whole rate to those that took it for the home; while the network was split, the home and the parts of the hosts that it had not yet held for silent granted beside each other.

A host that stops hands its homes over at once. A host that is not the home says so, but for half a second after a change, and the other goes by its part. The part of a host that hears nothing of its home for a second stays within its demand as of then and half as much again, and the home leaves that much to hosts whose reports are late. What others may have admitted counts in the home's window.

--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net"
 	"net/http"
@@ -74,6 +75,10 @@
 	headerTimeout = 5 * time.Second
 )
 
+// errNotHome is the error of a question to a host that is not the home of the
+// workspace's rate, as far as it knows.
+var errNotHome = errors.New("the host is not the home of the workspace's rate")
+
 // store is the platform's store. Watch returns the rows that changed after a
 // version; it waits for a change for at most wait. Write fails unless the rows in
 // expected are unchanged.
@@ -218,6 +223,9 @@
 		PermitRequest: request,
 		Deadline:      time.Now().Add(homeTimeout),
 	})
+	if err == nil && r.Outcome == reply.WrongServer {
+		return false, 0, "", errNotHome
+	}
 	if r.Outcome != reply.Done {
 		return false, r.RetryAfter, r.Message, err
 	}
@@ -260,6 +268,12 @@
 		Overage:   h.Settings.RateOverage,
 		Tolerance: h.Settings.RateTolerance,
 	}
+	h.rates.ReportAge = func(other host.Host) time.Duration {
+		return h.gossip.ReportAge(other.Name)
+	}
+	h.rates.LateDemands = func(version uint64, age time.Duration) [][]byte {
+		return h.gossip.LateDemands(version, age)
+	}
 	h.gossip = gossip.New(self, h.Settings.SeedList(), h.mirror, h.views, h.rates, h.Network.Dial)
 	rank.gossip = h.gossip
 	h.registrar = enroll.New(self, h.mirror, h.Store, h.gossip)
--- a/internal/routers/edge/stop.go
+++ b/internal/routers/edge/stop.go
@@ -42,6 +42,7 @@
 	h.mu.Unlock()
 	klog.InfoS("stopping", "host", h.Settings.Host, "callers", n, "grace", h.Settings.GracePeriod.String())
 	h.gossip.Stop()
+	h.forwarder.Leave()
 	began := time.Now()
 	at := func(fraction float64) time.Time {
 		return began.Add(time.Duration(fraction * float64(h.Settings.GracePeriod)))
--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -61,6 +61,25 @@
 	// reportDelay is how long it takes until a home knows that a host goes by its
 	// part: the average of the demand and some exchanges between hosts.
 	reportDelay = time.Second
+	// lostAfter is the age of a home's last report from which on a host assumes that
+	// it and the home no longer hear of each other. Most reports of live hosts are
+	// newer; to be wrong matters only while the home gives no answers either.
+	lostAfter = time.Second
+	// maxReportAge is the age that reports of live hosts reach in a large fleet
+	// (TestReportAge of simenv: 1.6 s).
+	maxReportAge = 1700 * time.Millisecond
+	// lostHomeFactor and lostHomeFraction bound the part of a host that has lost its
+	// home: its demand that the home knows of, with an increase by the callers of a
+	// third of the hosts, and a fraction of an even part. The home grants the rest
+	// until it holds this host for silent.
+	lostHomeFactor   = 1.5
+	lostHomeFraction = 0.1
+	// handoverTime is how long a former home grants to hosts that have not heard of the
+	// change of the home: a round of exchanges.
+	handoverTime = 500 * time.Millisecond
+	// newHomeTime is how long after it became the home a host may not be asked for all
+	// operations yet: handoverTime, and askedWindow on top.
+	newHomeTime = handoverTime + askedWindow
 	// demandError is the relative error of a reported demand: its encoding and the
 	// larger of two averages.
 	demandError = 0.15
@@ -81,6 +100,13 @@
 	// Homes finds the homes; if it is nil, each host admits operations from its
 	// local buckets only.
 	Homes homes
+	// ReportAge returns the age of the last report of another host. If it is nil,
+	// all reports count as new.
+	ReportAge func(h host.Host) time.Duration
+	// LateDemands returns the demands that live hosts reported for a version of the
+	// configuration, of those hosts whose last report is older than an age; nil if no
+	// report counts as late.
+	LateDemands func(version uint64, age time.Duration) [][]byte
 	// Window is the length of the sliding window over which the limit of rate
 	// and burst is checked.
 	Window time.Duration
@@ -124,12 +150,17 @@
 	// the callers of other hosts, both as of the last UpdateShares.
 	localRate   float64
 	otherDemand float64
+	// reportedDemand is the demand of this host's callers when it last heard of the
+	// home, which then heard of this host.
+	reportedDemand float64
 	// homeDemand is what all hosts ask this one for as the home, and homeBucket
 	// the bucket that it grants them from; heardFraction is the fraction of all
-	// hosts that this host hears from. homeUntil is when this host was last the home.
+	// hosts that this host hears from. homeSince is when this host became the home, and
+	// homeUntil when it was last the home.
 	homeDemand    demand
 	homeBucket    bucket.Bucket
 	heardFraction float64
+	homeSince     time.Time
 	homeUntil     time.Time
 	// asked counts what other hosts ask this one for, granted what this host granted
 	// as the home, and elsewhere what other hosts admitted by their parts, as far as
@@ -151,6 +182,10 @@
 	// home, and parts the sum of the parts of these hosts.
 	expected float64
 	parts    float64
+	// late is the sum of the parts of the hosts whose last report is old, and lost
+	// that of the hosts whose report is older than those of live hosts are.
+	late float64
+	lost float64
 }
 
 func (r *Rates) shard(workspace string) *shard {
@@ -189,11 +224,27 @@
 }
 
 // Grant takes one token for another host from the bucket of a workspace whose home is
-// this host.
+// this host. If it is not the home, why is empty, and the other host goes by its part;
+// one that was the home a moment ago grants while the others hear of the change.
 func (r *Rates) Grant(workspace string, request permit.Request) (ok bool, after time.Duration, why string) {
+	if r.Homes != nil && !r.isHome(workspace) {
+		return false, 0, ""
+	}
 	return r.grant(workspace, request, true)
 }
 
+// isHome reports whether this host is the home of a workspace or was a moment ago.
+func (r *Rates) isHome(workspace string) bool {
+	if _, elsewhere := r.Homes.Home(workspace); !elsewhere {
+		return true
+	}
+	s := r.shard(workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, known := s.workspaces[workspace]
+	return known && (w.homeBucket.Initialized() || time.Since(w.homeUntil) < handoverTime)
+}
+
 // grant takes one token from the bucket of a workspace whose home is this host. remote
 // says that another host asks.
 func (r *Rates) grant(workspace string, request permit.Request, remote bool) (ok bool, after time.Duration, why string) {
@@ -309,6 +360,11 @@
 func (r *Rates) UpdateShares(p *policy.Policy, others [][]byte, size, alive int) {
 	names := r.setPolicy(p)
 	now := time.Now()
+	var late, lost [][]byte
+	if r.LateDemands != nil {
+		late = r.LateDemands(p.Version, lostAfter)
+		lost = r.LateDemands(p.Version, maxReportAge)
+	}
 	for i, name := range names {
 		othersDemand, known := 0.0, 1
 		for _, demands := range others {
@@ -339,17 +395,52 @@
 		if risen := min(w.callerDemand.current, localRate); risen > own && othersDemand+risen <= declared.Rate {
 			localRate = bucket.HostRate(knownRate, risen, othersDemand+risen, known)
 		}
+		if !r.isHomeLost(name) {
+			w.reportedDemand = own
+		} else {
+			localRate = min(localRate, lostPart(w.reportedDemand, rate, hosts))
+		}
 		w.declared = declared
 		w.heardFraction = min(1, float64(alive)/float64(hosts))
 		w.localRate = localRate
 		w.otherDemand = othersDemand
 		w.localBucket.SetRate(now, localRate, r.localBurst(burst, hosts))
-		r.updateLeave(w, now, partsOf(others, i, len(names), knownRate, all, known))
+		next := partsOf(others, i, len(names), knownRate, all, known)
+		next.late = lostParts(late, i, rate, hosts)
+		next.lost = lostParts(lost, i, rate, hosts)
+		r.updateLeave(w, now, next, w.homeBucket.Initialized())
 		r.placeHomeBucket(name, w, now)
 		s.mu.Unlock()
 	}
 }
 
+// isHomeLost reports whether the home of a workspace is another host whose last report is
+// so old that it may not hear of this one either.
+func (r *Rates) isHomeLost(workspace string) bool {
+	if r.Homes == nil || r.ReportAge == nil {
+		return false
+	}
+	home, elsewhere := r.Homes.Home(workspace)
+	return elsewhere && r.ReportAge(home) > lostAfter
+}
+
+// lostPart returns the part of a host that has lost its home, which knows of a demand of
+// that host.
+func lostPart(demand, rate float64, hosts int) float64 {
+	return lostHomeFactor*demand + lostHomeFraction*rate/float64(hosts)
+}
+
+// lostParts returns the sum of lostPart over hosts, for the workspace at index i.
+func lostParts(list [][]byte, i int, rate float64, hosts int) float64 {
+	sum := 0.0
+	for _, demands := range list {
+		if i < len(demands) {
+			sum += lostPart(bucket.DecodeDemand(demands[i]), rate, hosts)
+		}
+	}
+	return sum
+}
+
 // newUsage returns the state of a workspace that is new to this host.
 func (r *Rates) newUsage(now time.Time) *usage {
 	w := &usage{
@@ -396,25 +487,36 @@
 }
 
 // updateLeave records what this host leaves to others as the home, and counts what they
-// may have admitted since the last call. What they began to admit before they could
-// report it is counted once they report it.
-func (r *Rates) updateLeave(w *usage, now time.Time, next leave) {
-	w.elsewhere.Add(now, next.reported*now.Sub(w.updatedAt).Seconds()+
-		max(0, next.reported-w.leave.reported)*reportDelay.Seconds())
+// may have admitted since the last call. What they began to admit before it could be
+// known is counted once it is; home says that this host is the home.
+func (r *Rates) updateLeave(w *usage, now time.Time, next leave, home bool) {
+	passed := now.Sub(w.updatedAt).Seconds()
+	count := next.reported*passed + max(0, next.reported-w.leave.reported)*reportDelay.Seconds()
+	if home {
+		silent := w.declared.Rate * (1 - w.heardFraction)
+		count += max(w.missing(now), silent)*passed + max(0, next.lost-w.leave.lost)*maxReportAge.Seconds()
+	}
+	w.elsewhere.Add(now, count)
 	w.leave = next
 	w.updatedAt = now
 }
 
 // missing returns the sum of the parts of hosts that neither ask this home nor report
 // yet that they go by their parts: the operations asked for lately are fewer than the
-// demand that these hosts report, by more than chance and the error of the reports.
+// demand that these hosts report, by more than chance and the error of the reports. For
+// hosts whose reports are late too, no such difference is needed.
 func (w *usage) missing(now time.Time) float64 {
 	expected := w.leave.expected * askedWindow.Seconds()
 	if expected <= 0 {
-		return 0
+		return w.leave.late
 	}
-	asked := w.asked.Sum(now) + 2*math.Sqrt(expected) + demandError*expected
-	return w.leave.parts * max(0, 1-asked/expected)
+	if now.Sub(w.homeSince) < newHomeTime {
+		return w.leave.lost // the others have yet to ask
+	}
+	asked := w.asked.Sum(now)
+	certain := w.leave.parts * max(0, 1-(asked+2*math.Sqrt(expected)+demandError*expected)/expected)
+	likely := w.leave.parts * max(0, 1-asked/expected)
+	return max(certain, min(likely, w.leave.late), w.leave.lost)
 }
 
 // placeHomeBucket begins to fill the bucket of a workspace whose home this host has
@@ -432,6 +534,9 @@
 		}
 		return
 	}
+	if !w.homeBucket.Initialized() {
+		w.homeSince = now
+	}
 	w.homeDemand.average(now)
 	exceeded := w.homeDemand.exceededFor(now, w.homeDemand.current > w.declared.Rate)
 	r.fillHomeBucket(w, now, exceeded)
