Name the limit that refused an operation, and spread the retries

A refusal named the rate and the demand, but neither what was granted in the window nor what is allowed, and callers that were refused together were told to come back at the same moment.

The message now tells the limit (bucket or window of the home, or part), what was granted in the window and the allowance; the histogram rate_refusal_window_used counts refusals by limit and used fraction. Refused callers of a level get turns one token apart, within a second; the turns of a level do not delay those of more urgent ones. A turn is not reserved: a newcomer may take its token.

--- a/internal/modules/stats/stats.go
+++ b/internal/modules/stats/stats.go
@@ -27,6 +27,7 @@
 	answers              *prometheus.CounterVec
 	refusals             *prometheus.CounterVec
 	reads                *prometheus.CounterVec
+	rateRefusals         *prometheus.HistogramVec
 	answerSeconds        prometheus.Histogram
 	primaryChangeSeconds *prometheus.HistogramVec
 }
@@ -50,6 +51,12 @@
 			Name:      "reads_total",
 			Help:      "Reads outside of transactions, by the role of the instance that ran them.",
 		}, []string{"role"}),
+		rateRefusals: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace,
+			Name:      "rate_refusal_window_used",
+			Help:      "Operations refused for their rate, by the limit that decided and the fraction of the window's allowance that was used.",
+			Buckets:   []float64{0.25, 0.5, 0.75, 0.9, 1},
+		}, []string{"limit"}),
 		answerSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace,
 			Name:      "answer_seconds",
@@ -63,7 +70,7 @@
 			Buckets:   []float64{0.25, 0.5, 1, 2, 3, 5, 8, 12},
 		}, []string{"planned"}),
 	}
-	s.registry.MustRegister(s.answers, s.refusals, s.reads, s.answerSeconds, s.primaryChangeSeconds)
+	s.registry.MustRegister(s.answers, s.refusals, s.reads, s.rateRefusals, s.answerSeconds, s.primaryChangeSeconds)
 	s.registry.MustRegister(collectors.NewGoCollector())
 	return s
 }
@@ -79,6 +86,12 @@
 	s.refusals.WithLabelValues(reason).Inc()
 }
 
+// RecordRateRefusal counts an operation that was refused for its rate; limit is what
+// decided, and used the fraction of the window's allowance that was used.
+func (s *Stats) RecordRateRefusal(limit string, used float64) {
+	s.rateRefusals.WithLabelValues(limit).Observe(used)
+}
+
 // RecordRead counts a read outside of a transaction.
 func (s *Stats) RecordRead(replica bool) {
 	role := "primary"
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -283,6 +283,7 @@
 	h.tasks = tasks.New(h.mirror, h.pools, h.rates)
 	h.requestLog = reqlog.New()
 	h.stats = stats.New()
+	h.rates.Meter = h.stats
 	h.registerGauges()
 }
 
--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -94,6 +94,13 @@
 	RequestPermit(ctx context.Context, home host.Host, workspace string, request permit.Request) (ok bool, after time.Duration, why string, err error)
 }
 
+// meter counts refused operations by the limit that decided: bucket or window at the
+// home, part at another host, unknown before a host knows the workspace. used is the
+// fraction of the allowed operations of a window that this host knows to be admitted.
+type meter interface {
+	RecordRateRefusal(limit string, used float64)
+}
+
 // Rates admits operations. Its fields are set before the first call. It is
 // safe for concurrent use.
 type Rates struct {
@@ -107,6 +114,8 @@
 	// configuration, of those hosts whose last report is older than an age; nil if no
 	// report counts as late.
 	LateDemands func(version uint64, age time.Duration) [][]byte
+	// Meter counts refusals; it may be nil.
+	Meter meter
 	// Window is the length of the sliding window over which the limit of rate
 	// and burst is checked.
 	Window time.Duration
@@ -163,11 +172,14 @@
 	homeSince     time.Time
 	homeUntil     time.Time
 	// asked counts what other hosts ask this one for, granted what this host granted
-	// as the home, and elsewhere what other hosts admitted by their parts, as far as
+	// as the home or admitted by its part, and elsewhere what other hosts admitted by their parts, as far as
 	// they report it.
 	asked     slide.Window
 	granted   slide.Window
 	elsewhere slide.Window
+	// homeTurns and localTurns are the times at which refused callers come back.
+	homeTurns  turns
+	localTurns turns
 	// leave is what the home leaves to hosts that go by their parts, as of updatedAt,
 	// the last UpdateShares.
 	leave     leave
@@ -253,6 +265,7 @@
 	defer s.mu.Unlock()
 	w, known := s.workspaces[workspace]
 	if !known {
+		r.record("unknown", 0)
 		return false, unknownRetryAfter, "its rate is not known yet"
 	}
 	now := time.Now()
@@ -266,22 +279,30 @@
 	allowed := r.allocated(w.declared)
 	used := w.granted.Sum(now) + w.elsewhere.Sum(now)
 	if used+1 > allowed {
-		after = max(w.granted.Wait(now, 1), time.Millisecond)
-		return false, after, r.explain(w, now, "window", allowed)
+		// Counts of other hosts may leave the window sooner than those of this one.
+		after = max(time.Millisecond, min(w.granted.Wait(now, 1), w.elsewhere.Wait(now, 1)))
+		return false, w.homeTurns.next(now, request.Level, after, w.homeBucket.Rate()), r.explain(w, now, "window", allowed)
 	}
 	ok, after = take(&w.homeBucket, now, request, exceeded >= sustainedAfter)
 	if !ok {
-		return false, after, r.explain(w, now, "bucket", allowed)
+		return false, w.homeTurns.next(now, request.Level, after, w.homeBucket.Rate()), r.explain(w, now, "bucket", allowed)
 	}
 	w.granted.Add(now, 1)
 	return true, after, ""
 }
 
-// explain returns the figures that a home refused an operation by; what is the limit
-// that decided.
-func (r *Rates) explain(w *usage, now time.Time, what string, allowed float64) string {
-	return fmt.Sprintf("rate %.1f, asked for %.1f at its home, refused by the %s: in %v granted %.0f and %.0f by parts, allowed %.0f, refilled at %.1f",
-		w.declared.Rate, w.homeDemand.current, what, r.Window, w.granted.Sum(now), w.elsewhere.Sum(now), allowed, w.homeBucket.Rate())
+// explain counts a refusal of the home and returns its figures; limit tells what decided.
+func (r *Rates) explain(w *usage, now time.Time, limit string, allowed float64) string {
+	granted, elsewhere := w.granted.Sum(now), w.elsewhere.Sum(now)
+	r.record(limit, (granted+elsewhere)/allowed)
+	return fmt.Sprintf("rate %.1f, asked for %.1f at its home, limit %s: in %v granted %.0f and elsewhere %.0f, allowed %.0f, tokens a second %.1f",
+		w.declared.Rate, w.homeDemand.current, limit, r.Window, granted, elsewhere, allowed, w.homeBucket.Rate())
+}
+
+func (r *Rates) record(limit string, used float64) {
+	if r.Meter != nil {
+		r.Meter.RecordRateRefusal(limit, used)
+	}
 }
 
 // take takes one token for a request. A short peak is spread over time: requests of
@@ -303,13 +324,21 @@
 	defer s.mu.Unlock()
 	w, known := s.workspaces[workspace]
 	if !known {
+		r.record("unknown", 0)
 		return false, unknownRetryAfter, "its rate is not known yet"
 	}
 	now := time.Now()
 	w.localDemand.add(now)
 	ok, after = take(&w.localBucket, now, request, w.localDemand.exceededFor(now, w.localDemand.current > w.localRate) >= sustainedAfter)
-	if !ok {
-		why = fmt.Sprintf("rate %.1f, part %.2f, demand here %.1f, demand elsewhere %.1f", w.declared.Rate, w.localRate, w.localDemand.current, w.otherDemand)
+	if ok {
+		w.granted.Add(now, 1)
+	} else {
+		after = w.localTurns.next(now, request.Level, after, w.localRate)
+		admitted := w.granted.Sum(now)
+		allowed := r.allocated(w.declared)
+		r.record("part", admitted/allowed)
+		why = fmt.Sprintf("rate %.1f, part %.2f, demand here %.1f, demand elsewhere %.1f, in %v admitted here %.0f, allowed everywhere %.0f",
+			w.declared.Rate, w.localRate, w.callerDemand.current, w.otherDemand, r.Window, admitted, allowed)
 	}
 	return ok, after, why
 }
