Let the emulator run many services and count hosts' work

A fleet's growth with its databases could not be measured without the platform: the emulator had one service. It gets services with three instances each, and counts status queries, connections and bytes by the port that they go to.

--- a/internal/standin/linedb/linedb.go
+++ b/internal/standin/linedb/linedb.go
@@ -49,8 +49,16 @@
 	leader *instance
 	// outcomes holds the commits by the id of their statement, acknowledged the
 	// statements whose success callers were told; see Acknowledge.
-	outcomes     map[string]*outcome
-	acknowledged map[string]bool
+	outcomes      map[string]*outcome
+	acknowledged  map[string]bool
+	statusQueries int
+}
+
+// CountStatusQueries returns how many status queries the instances have received.
+func (g *Group) CountStatusQueries() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.statusQueries
 }
 
 // commit is one entry of the log: an item gets a value.
--- a/internal/standin/linedb/session.go
+++ b/internal/standin/linedb/session.go
@@ -393,6 +393,9 @@
 	term, _ := strconv.ParseUint(rest, 10, 64)
 	g.mu.Lock()
 	inst := s.instance
+	if keyword == "STATUS" {
+		g.statusQueries++
+	}
 	if inst.busy {
 		g.mu.Unlock()
 		s.fail("BUSY")
--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -182,6 +183,8 @@
 	out           *stream
 	readDeadline  *deadline
 	writeDeadline *deadline
+	// sent counts the bytes that both ends send.
+	sent *int64
 }
 
 func newConnPair(n *Network, a, b address) (*conn, *conn) {
@@ -244,6 +247,7 @@
 			return sent, err
 		}
 		sent += n
+		atomic.AddInt64(c.sent, int64(n))
 		if changed != nil {
 			waitForChange(at, 0, changed, deadlineChanged)
 		}
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -43,6 +44,43 @@
 	// healed is closed and replaced at each Heal.
 	healed       chan struct{}
 	defaultDelay time.Duration
+	// traffic is counted by the port of the side that accepted the connection.
+	traffic map[string]*Traffic
+}
+
+// Traffic is what passed over connections.
+type Traffic struct {
+	// Conns is how many were opened.
+	Conns int64
+	// Bytes is what both ends sent.
+	Bytes int64
+}
+
+// Traffic returns what has passed so far over all connections to listeners on a port.
+func (n *Network) Traffic(port string) Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t, ok := n.traffic[port]
+	if !ok {
+		return Traffic{}
+	}
+	return Traffic{
+		Conns: t.Conns,
+		Bytes: atomic.LoadInt64(&t.Bytes),
+	}
+}
+
+// countConn counts a new connection and returns where its bytes are counted. The caller
+// holds the lock.
+func (n *Network) countConn(to address) *int64 {
+	_, port, _ := net.SplitHostPort(string(to))
+	t, ok := n.traffic[port]
+	if !ok {
+		t = &Traffic{}
+		n.traffic[port] = t
+	}
+	t.Conns++
+	return &t.Bytes
 }
 
 // New returns a network with a one-way latency of defaultDelay wherever SetDelay
@@ -56,6 +94,7 @@
 		conns:        map[*conn]struct{}{},
 		healed:       make(chan struct{}),
 		defaultDelay: defaultDelay,
+		traffic:      map[string]*Traffic{},
 	}
 }
 
@@ -187,6 +226,9 @@
 	local, remote := newConnPair(n, address(ip+":0"), to)
 	select {
 	case l.queue <- remote:
+		sent := n.countConn(to)
+		local.sent = sent
+		remote.sent = sent
 		n.conns[local] = struct{}{}
 		n.conns[remote] = struct{}{}
 		return local, nil
--- a/internal/standin/simenv/simenv.go
+++ b/internal/standin/simenv/simenv.go
@@ -36,6 +36,7 @@
 	readyPort    = ":8460"
 	peerPort     = ":8462"
 	runPort      = ":7560"
+	instancePort = ":8080"
 	metricsPort  = ":9464"
 	// sameCentreDelay and crossCentreDelay are the network delays within a data
 	// centre and between two of them.
@@ -78,6 +79,8 @@
 	// Group holds the instances of the only service: i-1, the first primary, and
 	// the replicas i-2 and i-3.
 	Group *linedb.Group
+	// idle are the groups of the services that AddServices added.
+	idle []*linedb.Group
 
 	mu      sync.Mutex
 	config  map[string]any
@@ -166,23 +169,106 @@
 
 func (e *Environment) addInstance(i int, dc string) {
 	id, ip := Instance(i)
+	e.startInstance(e.Group, id, ip, dc)
+}
+
+func (e *Environment) startInstance(g *linedb.Group, id, ip, dc string) {
 	e.Net.SetDataCentre(ip, dc)
-	e.Group.Add(id)
-	l := e.listen(ip + ":8080")
+	g.Add(id)
+	l := e.listen(ip + instancePort)
 	e.running.Add(2)
 	go func() {
 		defer e.running.Done()
-		e.Group.Serve(id, l)
+		g.Serve(id, l)
 	}()
 	go func() {
 		defer e.running.Done()
-		e.sendHeartbeats(id, ip, dc)
+		e.sendHeartbeats(g, id, ip, dc)
 	}()
 }
 
+// AddServices adds n services of three instances each, named ServiceName(0) and so on.
+// Each has one database, of the service's name, with a bounded staleness of 1.5 s.
+func (e *Environment) AddServices(n int) {
+	var routes, services []any
+	for k := range n {
+		g := &linedb.Group{
+			Service:       ServiceName(k),
+			ApplyLag:      ApplyLag,
+			StatementTime: StatementTime,
+			Slots:         3,
+			Connections:   22,
+		}
+		e.idle = append(e.idle, g)
+		for i, dc := range dataCentres {
+			e.startInstance(g, fmt.Sprintf("%s-%d", g.Service, i+1), fmt.Sprintf("10.%d.%d.%d", 130+i, k/250, k%250+1), dc)
+		}
+		routes = append(routes, routeConfig(g.Service, "bounded_staleness", g.Service, 1500))
+		services = append(services, map[string]any{
+			"name":            g.Service,
+			"max_connections": g.Connections,
+		})
+	}
+	e.Configure(func(config map[string]any) {
+		config["routes"] = append(config["routes"].([]any), routes...)
+		config["services"] = append(config["services"].([]any), services...)
+	})
+}
+
+// ServiceName returns the name of the service at index k of those that AddServices adds.
+func ServiceName(k int) string {
+	return fmt.Sprintf("s-%d", k)
+}
+
+// Service returns the instances of the service at index k of those that AddServices
+// added.
+func (e *Environment) Service(k int) *linedb.Group {
+	return e.idle[k]
+}
+
+// Load is the work that hosts have caused.
+type Load struct {
+	// StatusQueries counts the instances' status queries, InstanceConns the connections
+	// opened to them, and InstanceBytes the bytes on them.
+	StatusQueries int64
+	InstanceConns int64
+	InstanceBytes int64
+	// StoreCalls counts the calls of the store, StoreBytes their bytes.
+	StoreCalls int64
+	StoreBytes int64
+	// PeerConns and PeerBytes are the connections that hosts opened for gossip, and
+	// their bytes.
+	PeerConns int64
+	PeerBytes int64
+}
+
+// Load returns the work that hosts have caused so far.
+func (e *Environment) Load() Load {
+	instances := e.Net.Traffic(portOf(instancePort))
+	peers := e.Net.Traffic(portOf(peerPort))
+	l := Load{
+		StatusQueries: int64(e.Group.CountStatusQueries()),
+		InstanceConns: instances.Conns,
+		InstanceBytes: instances.Bytes,
+		StoreCalls:    int64(e.Store.CallCount()),
+		StoreBytes:    e.Net.Traffic(portOf(StoreAddress)).Bytes,
+		PeerConns:     peers.Conns,
+		PeerBytes:     peers.Bytes,
+	}
+	for _, g := range e.idle {
+		l.StatusQueries += int64(g.CountStatusQueries())
+	}
+	return l
+}
+
+func portOf(address string) string {
+	_, port, _ := net.SplitHostPort(address)
+	return port
+}
+
 // sendHeartbeats renews an instance's entry in the store until the environment
 // stops. Heartbeats that are switched off are skipped.
-func (e *Environment) sendHeartbeats(id, ip, dc string) {
+func (e *Environment) sendHeartbeats(g *linedb.Group, id, ip, dc string) {
 	for n := 1; ; n++ {
 		e.mu.Lock()
 		state, skip := "ready", e.heartbeatOff[id]
@@ -192,12 +278,12 @@
 		e.mu.Unlock()
 		if !skip {
 			e.Store.Put(decode.ServerTable, id, map[string]any{
-				"service":  "ledger",
-				"address":  ip + ":8080",
+				"service":  g.Service,
+				"address":  ip + instancePort,
 				"zone":     dc,
 				"capacity": 3,
 				"state":    state,
-				"db_role":  role(e.Group.IsPrimary(id)),
+				"db_role":  role(g.IsPrimary(id)),
 				"sequence": n,
 				"born":     1_700_000_000_000,
 			})
@@ -319,16 +405,7 @@
 
 func initialConfig() map[string]any {
 	route := func(database, kind string, maxStaleness int) map[string]any {
-		return map[string]any{
-			"name":              "r-" + database,
-			"host":              database,
-			"type":              kind,
-			"timeout_ms":        StatementTimeout.Milliseconds(),
-			"target_latency_ms": TargetLatency.Milliseconds(),
-			"priority":          1,
-			"service":           "ledger",
-			"max_staleness_ms":  maxStaleness,
-		}
+		return routeConfig(database, kind, "ledger", maxStaleness)
 	}
 	return map[string]any{
 		"routes": []any{
@@ -350,6 +427,19 @@
 	}
 }
 
+func routeConfig(database, kind, service string, maxStaleness int) map[string]any {
+	return map[string]any{
+		"name":              "r-" + database,
+		"host":              database,
+		"type":              kind,
+		"timeout_ms":        StatementTimeout.Milliseconds(),
+		"target_latency_ms": TargetLatency.Milliseconds(),
+		"priority":          1,
+		"service":           service,
+		"max_staleness_ms":  maxStaleness,
+	}
+}
+
 // WorkspaceConfig returns a workspace's part of the configuration.
 func WorkspaceConfig(name string, rate float64, keys ...string) map[string]any {
 	return map[string]any{
@@ -362,7 +452,7 @@
 
 // HostIP returns the IP address of the host at an index.
 func HostIP(host int) string {
-	return fmt.Sprintf("10.1.0.%d", host+1)
+	return fmt.Sprintf("10.1.%d.%d", (host+1)/250, (host+1)%250)
 }
 
 // StartHost starts the host at an index. Hosts are spread over the data centres.
