Index the mirror's instances by service

Servers walked the instances of all services, and the failover check, the poller and the views call it for each service ten times a second on each host: services times instances.

--- a/internal/services/mirror/build.go
+++ b/internal/services/mirror/build.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -49,6 +50,7 @@
 	m.buildServers(next, old)
 	m.buildFleet(next)
 	m.keepUnrestoredLeaders(next, old)
+	next.index(old)
 	m.current.Store(next)
 	m.built = built
 	if reflect.DeepEqual(old, next) {
@@ -58,6 +60,20 @@
 	m.changed = make(chan struct{})
 }
 
+// index sets what is derived from the servers and the policy.
+func (s *snapshot) index(old *snapshot) {
+	if s.policy == old.policy {
+		s.services = old.services
+	} else {
+		s.services = slices.Sorted(maps.Keys(s.policy.ConnectionLimit))
+	}
+	s.byService = map[string][]server.Server{}
+	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
+		in := s.servers[id]
+		s.byService[in.Service] = append(s.byService[in.Service], in)
+	}
+}
+
 // isBuilt reports whether the current snapshot has all changes of a table. It waits for
 // a rebuild under way.
 func (m *Mirror) isBuilt(name string) bool {
--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -128,6 +128,11 @@
 	policyLost bool
 	evacuated  map[string]bool
 	servers    map[string]server.Server
+	// byService are the servers of each service, by id, and services the names of the
+	// services in the policy: several parts of a host ask for them for each service
+	// ten times a second.
+	byService map[string][]server.Server
+	services  []string
 	// missing holds, for each instance in servers without an entry, the as-of
 	// time of the first copy that lacks the entry.
 	missing        map[string]time.Duration
@@ -194,15 +199,9 @@
 }
 
 // Servers returns the instances of a service that may be used, those that are
-// draining included.
+// draining included. The list must not be changed.
 func (m *Mirror) Servers(service string) []server.Server {
-	var list []server.Server
-	for _, s := range m.current.Load().servers {
-		if s.Service == service {
-			list = append(list, s)
-		}
-	}
-	return list
+	return m.current.Load().byService[service]
 }
 
 // Server returns an instance by its id.
@@ -229,17 +228,10 @@
 	return m.AsOf(Servers) - since
 }
 
-// Services returns the names of the services in the configuration.
+// Services returns the names of the services in the configuration. The list must not be
+// changed.
 func (m *Mirror) Services() []string {
-	p := m.Policy()
-	if p == nil {
-		return nil
-	}
-	var names []string
-	for name := range p.ConnectionLimit {
-		names = append(names, name)
-	}
-	return names
+	return m.current.Load().services
 }
 
 // SyncReplicas returns how many replicas of a service must have a commit before
