Check and poll only the services that this host is near

Every host checked the primary of each service, and counted for each the hosts that can't reach it, ten times a second; ranks were computed against all hosts at each change of the topology. A host that is not among the first four for a service now checks it twice a second, the counts serve for 50 ms, and the question whether a host is among the first few stops early. An exact rank is computed only to act by it.

A host that has just started polls once the number of known hosts has not changed for 0.3 s, at the latest after 0.8 s, and shares duties with all registered hosts while it hears of less than half. Polls pause after refusals, up to 0.6 s, and at most 64 run at once. Rows are decoded again only if their values change.

--- a/internal/services/failov/failov.go
+++ b/internal/services/failov/failov.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -48,6 +50,11 @@
 	// lease, a promotion of about a second, and the calls between; a replica that is
 	// stopped from receiving late takes longer.
 	abandonedTimeout = 6 * time.Second
+	// nearRanks is how many hosts in the ranking check a primary at each check; the
+	// others, which act 1.2 s after each other, do so each farInterval. Hosts times
+	// services would be checked ten times a second otherwise.
+	nearRanks   = 4
+	farInterval = 500 * time.Millisecond
 	// retryPause is the pause after a failover of a service, successful or not,
 	// before this host starts another one.
 	retryPause = 700 * time.Millisecond
@@ -94,6 +101,7 @@
 type fleet interface {
 	Alive() []host.Host
 	Rank(duty string) int
+	IsAmong(duty string, n int) bool
 	FleetVersion(name string) uint64
 	CountUnreachable(service string) (hosts, failing int)
 	CountOpenTransactions(service string) int
@@ -132,12 +140,18 @@
 	// Meter counts failovers.
 	Meter meter
 
-	// services is the state of each service, by name; only Run uses it.
-	services map[string]*serviceState
+	// services is the state of each service, by name; only Run uses it, as partitioned,
+	// when this host last counted as partitioned.
+	services    map[string]*serviceState
+	partitioned time.Duration
 }
 
 // serviceState is what is kept of one service between two checks.
 type serviceState struct {
+	// duty is the name under which hosts are ranked for replacing the primary, and
+	// nextCheck when a host that is not among the first is to check it.
+	duty      string
+	nextCheck time.Duration
 	// running is closed when the failover under way has ended; nil without one.
 	running     chan struct{}
 	cause       cause
@@ -178,10 +192,16 @@
 // checkServices starts a failover for each service whose primary this host is
 // to replace now, unless one is under way.
 func (f *Failover) checkServices(ctx context.Context, parts *conc.WaitGroup) {
+	now := uptime.Now()
+	if f.Directory.Age(f.FleetTable) > maxTableAge {
+		f.partitioned = now
+	}
 	for _, service := range f.Directory.Services() {
 		state, ok := f.services[service]
 		if !ok {
-			state = &serviceState{}
+			state = &serviceState{
+				duty: "change/" + service,
+			}
 			f.services[service] = state
 		}
 		if state.running != nil {
@@ -193,6 +213,10 @@
 				continue
 			}
 		}
+		if now < state.nextCheck && !f.Hosts.IsAmong(state.duty, nearRanks) {
+			continue
+		}
+		state.nextCheck = now + farInterval/2 + rand.N(farInterval/2)
 		found, due := f.causeToAct(service, state)
 		if !due {
 			continue
@@ -221,7 +245,7 @@
 	if found.reason == "" || now < state.pausedUntil {
 		return found, false
 	}
-	rank := f.Hosts.Rank("change/" + service)
+	rank := f.Hosts.Rank(state.duty)
 	delay := found.delay + time.Duration(rank)*rankDelay
 	return found, now-state.causeSince >= delay
 }
@@ -231,13 +255,11 @@
 // primary is as old as the partition.
 func (f *Failover) trackRecord(service string, state *serviceState, now time.Duration) {
 	_, version := f.Views.View(service).Leader()
-	if f.Directory.Age(f.FleetTable) > maxTableAge {
-		state.versionSince = now
-	}
 	if state.version != version || state.versionSince == 0 {
 		state.version = version
 		state.versionSince = now
 	}
+	state.versionSince = max(state.versionSince, f.partitioned)
 }
 
 // findCause returns why the primary of a service is to be replaced, or an empty
@@ -251,7 +273,7 @@
 	if l.Phase == leader.Changing {
 		return f.findAbandoned(l, state, now)
 	}
-	if len(f.candidates(service, l.Primary)) == 0 {
+	if !f.hasCandidate(service, l.Primary) {
 		return cause{} // no instance could take over
 	}
 	s, ok := f.Directory.Server(l.Primary)
@@ -320,14 +342,23 @@
 func (f *Failover) candidates(service, former string) []server.Server {
 	var list []server.Server
 	for _, s := range f.Directory.Servers(service) {
-		if s.ID == former || s.Draining || f.Directory.Missing(s.ID) || f.Directory.Evacuated(s.DataCentre) {
-			continue
+		if f.isCandidate(s, former) {
+			list = append(list, s)
 		}
-		list = append(list, s)
 	}
 	return list
 }
 
+func (f *Failover) isCandidate(s server.Server, former string) bool {
+	return s.ID != former && !s.Draining && !f.Directory.Missing(s.ID) && !f.Directory.Evacuated(s.DataCentre)
+}
+
+func (f *Failover) hasCandidate(service, former string) bool {
+	return slices.ContainsFunc(f.Directory.Servers(service), func(s server.Server) bool {
+		return f.isCandidate(s, former)
+	})
+}
+
 // requiredAnswers returns how many replicas have to answer before one of them
 // may become the primary. With synchronous replication every acknowledged commit
 // is on at least sync replicas, so that any replicas-sync+1 of them include one
--- a/internal/services/failov/world_test.go
+++ b/internal/services/failov/world_test.go
@@ -409,6 +409,7 @@
 
 func (w *world) Alive() []host.Host                      { return nil }
 func (w *world) Rank(string) int                         { return 0 }
+func (w *world) IsAmong(string, int) bool                { return true }
 func (w *world) CountUnreachable(string) (int, int)      { return 0, 0 }
 func (w *world) CountOpenTransactions(string) int        { return 0 }
 func (w *world) PushNow()                                {}
--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -118,12 +118,17 @@
 	packed   packedList
 	// packedTables are rows of tables that were sent lately.
 	packedTables packedTables
+	// unreachable caches CountUnreachable.
+	unreachable unreachableCount
 	// hostsChanged says that a host came, went, restarted or stopped.
 	hostsChanged bool
 
-	// topologyMu guards cached and its ranks. It is taken before mu.
+	// topologyMu guards cached and its ranks, and the number of known hosts and since
+	// when it is the same. It is taken before mu.
 	topologyMu sync.Mutex
 	cached     *topology
+	knownCount int
+	knownSince time.Duration
 }
 
 // peer is another host.
@@ -146,6 +151,7 @@
 // address. Seeds are the addresses of hosts to contact while no other host is
 // known.
 func New(self host.Host, seeds []string, m *mirror.Mirror, v views, d demands, dialer dial) *Gossip {
+	now := uptime.Now()
 	return &Gossip{
 		self:          self,
 		seeds:         seeds,
@@ -153,7 +159,8 @@
 		views:         v,
 		demands:       d,
 		pushRequested: make(chan struct{}, 1),
-		started:       uptime.Now(),
+		started:       now,
+		knownSince:    now,
 		hosts:         map[string]*peer{},
 		client: &http.Client{
 			Transport: &http.Transport{
--- a/internal/services/gossip/hosts.go
+++ b/internal/services/gossip/hosts.go
@@ -12,6 +12,10 @@
 	"wasabislip.example/wasabislip/pkg/model/host"
 )
 
+// countMaxAge is how old the counts of CountUnreachable may be, which is asked for each
+// service ten times a second.
+const countMaxAge = 50 * time.Millisecond
+
 // Alive returns the other hosts whose last report is recent; those that announced
 // a stop are in the state Leaving. The list must not be changed.
 func (g *Gossip) Alive() []host.Host {
@@ -61,11 +65,34 @@
 }
 
 // CountUnreachable returns the number of other live hosts, and how many of them
-// can't reach the primary of a service.
+// can't reach the primary of a service, as of at most countMaxAge ago.
 func (g *Gossip) CountUnreachable(service string) (hosts, failing int) {
-	return g.count(func(r *wasabislipv1.HostReport) bool {
-		return slices.Contains(r.GetUnreachable(), service)
-	})
+	now := uptime.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := &g.unreachable
+	if c.services == nil || now-c.at >= countMaxAge {
+		c.at = now
+		c.hosts = 0
+		c.services = map[string]int{}
+		for _, p := range g.hosts {
+			if now-p.lastHeard >= aliveTimeout {
+				continue
+			}
+			c.hosts++
+			for _, name := range p.report.GetUnreachable() {
+				c.services[name]++
+			}
+		}
+	}
+	return c.hosts, c.services[service]
+}
+
+// unreachableCount counts the live hosts that can't reach the primaries of services.
+type unreachableCount struct {
+	at       time.Duration
+	hosts    int
+	services map[string]int
 }
 
 // CountOpenTransactions returns the number of other live hosts that have open
@@ -128,8 +155,8 @@
 	}
 	own := weight(duty, g.self.Name)
 	rank := 0
-	for _, h := range t.alive {
-		if h.State == host.Alive && weight(duty, h.Name) > own {
+	for _, h := range t.ranked {
+		if weight(duty, h.Name) > own {
 			rank++
 		}
 	}
@@ -137,6 +164,43 @@
 	return rank
 }
 
+// IsAmong reports whether this host is among the first n live hosts for a duty: its
+// Rank is less than n. It stops at the first n hosts that rank before this one, so that
+// asking for each of many services costs little when hosts have come or gone.
+func (g *Gossip) IsAmong(duty string, n int) bool {
+	t := g.topology()
+	g.topologyMu.Lock()
+	defer g.topologyMu.Unlock()
+	if rank, ok := t.ranks[duty]; ok {
+		return rank < n
+	}
+	key := amongKey{
+		duty: duty,
+		n:    n,
+	}
+	if is, ok := t.among[key]; ok {
+		return is
+	}
+	own := weight(duty, g.self.Name)
+	before := 0
+	for _, h := range t.ranked {
+		if weight(duty, h.Name) > own {
+			before++
+		}
+		if before == n {
+			break
+		}
+	}
+	t.among[key] = before < n
+	return before < n
+}
+
+// amongKey is a question to IsAmong.
+type amongKey struct {
+	duty string
+	n    int
+}
+
 // weight is the rendezvous hash of a host for a duty; the largest ranks first.
 func weight(duty, name string) uint64 {
 	var d xxhash.Digest
--- a/internal/services/gossip/join.go
+++ b/internal/services/gossip/join.go
@@ -20,6 +20,14 @@
 	// startInterval is the mean time between two exchanges of a host that has just
 	// started and has copies: it has yet to hear of the other hosts, and others of it.
 	startInterval = 110 * time.Millisecond
+	// settleTime is how long after its start a host that hears of less than half of
+	// the known hosts shares duties with all of them.
+	settleTime = 3 * time.Second
+	// knownFor is how long the number of known hosts has not changed when a host
+	// that has just started takes the fleet for known: several exchanges. It does so
+	// after maxUnknown in any case, before a primary can count as silent.
+	knownFor   = 300 * time.Millisecond
+	maxUnknown = 800 * time.Millisecond
 	// firstCopiesTimeout bounds how long an answer waits for this host's first
 	// copies. It is shorter than exchangeTimeout.
 	firstCopiesTimeout = 350 * time.Millisecond
@@ -39,6 +47,19 @@
 	return uptime.Now()-g.started < joinTime
 }
 
+// KnowsFleet reports whether this host knows the other hosts well enough to take up
+// duties that few hosts carry out.
+func (g *Gossip) KnowsFleet() bool {
+	now := uptime.Now()
+	if now-g.started >= maxUnknown {
+		return true
+	}
+	g.topology()
+	g.topologyMu.Lock()
+	defer g.topologyMu.Unlock()
+	return now-g.knownSince >= knownFor
+}
+
 // needsCopies reports whether this host has just started and lacks copies that a seed
 // may give it.
 func (g *Gossip) needsCopies() bool {
--- a/internal/services/gossip/topol.go
+++ b/internal/services/gossip/topol.go
@@ -15,16 +15,20 @@
 const topologyMaxAge = 100 * time.Millisecond
 
 // topology is which hosts there are and what they do for gossip, so that a decision
-// need not go through all hosts. It is immutable but for ranks, which the lock of
+// need not go through all hosts. It is immutable but for ranks and among, which the lock of
 // Gossip's topology guards.
 type topology struct {
 	at time.Duration
+	// settled says that it was built after settleTime.
+	settled bool
 	// registrations is the digest of the fleet table at that time.
 	registrations uint64
 	// alive are the other hosts whose last report is recent; known are also those
 	// registered in the store or heard of lately.
 	alive []host.Host
 	known []host.Host
+	// ranked are the other hosts that share duties with this one.
+	ranked []host.Host
 	// byReader are the known hosts and this one by rank for reading the store,
 	// byHub those of this data centre by rank for being a hub.
 	byReader []host.Host
@@ -35,8 +39,9 @@
 	centre []host.Host
 	// passesOn says that this host is a reader or a hub.
 	passesOn bool
-	// ranks caches Rank by duty.
+	// ranks caches Rank by duty, among IsAmong.
 	ranks map[string]int
+	among map[amongKey]bool
 }
 
 // topology returns the topology, which it builds anew when it is too old.
@@ -62,20 +67,27 @@
 func (g *Gossip) buildTopology(now time.Duration, last *topology) *topology {
 	registrations, _, _ := g.mirror.Digest(mirror.Fleet)
 	changed := g.takeHostsChanged(now)
-	if last != nil && !changed && last.registrations == registrations {
+	if last != nil && !changed && (last.settled || now-g.started < settleTime) && last.registrations == registrations {
 		next := *last
 		next.at = now
 		return &next
 	}
 	alive := g.listAlive(now)
 	known := g.listKnown()
+	if len(known) != g.knownCount {
+		g.knownCount = len(known)
+		g.knownSince = now
+	}
 	t := &topology{
 		at:            now,
+		settled:       now-g.started >= settleTime,
 		registrations: registrations,
 		alive:         alive,
 		known:         known,
+		ranked:        g.listRanked(now, alive, known),
 		hubs:          map[string][]host.Host{},
 		ranks:         map[string]int{},
+		among:         map[amongKey]bool{},
 	}
 	all := append(slices.Clone(known), g.self)
 	t.byReader = sortByRank(all, ReaderDuty)
@@ -84,6 +96,19 @@
 	return t
 }
 
+// listRanked returns the other hosts that share duties with this one: the live ones. Soon
+// after a start, when few hosts were heard of, it goes by the known ones; otherwise this
+// host would be the first for all duties.
+func (g *Gossip) listRanked(now time.Duration, alive, known []host.Host) []host.Host {
+	base := alive
+	if now-g.started < settleTime && 2*len(alive) < len(known) {
+		base = known
+	}
+	return slices.DeleteFunc(slices.Clone(base), func(h host.Host) bool {
+		return h.State == host.Leaving || h.State == host.Suspect
+	})
+}
+
 // takeHostsChanged reports whether other hosts came, went, stopped or fell silent since
 // the last call.
 func (g *Gossip) takeHostsChanged(now time.Duration) bool {
--- a/internal/services/mirror/build.go
+++ b/internal/services/mirror/build.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"reflect"
@@ -47,10 +48,16 @@
 		lostLeaders:          map[string]leader.Leader{},
 	}
 	m.buildOperators(next, old)
-	m.buildServers(next, old)
+	if m.sameServers(built, old) {
+		next.servers = old.servers
+		next.byService = old.byService
+	} else {
+		m.buildServers(next, old)
+		next.indexServers()
+	}
 	m.buildFleet(next)
 	m.keepUnrestoredLeaders(next, old)
-	next.index(old)
+	next.listServices(old)
 	m.current.Store(next)
 	m.built = built
 	if reflect.DeepEqual(old, next) {
@@ -60,13 +67,14 @@
 	m.changed = make(chan struct{})
 }
 
-// index sets what is derived from the servers and the policy.
-func (s *snapshot) index(old *snapshot) {
-	if s.policy == old.policy {
-		s.services = old.services
-	} else {
-		s.services = slices.Sorted(maps.Keys(s.policy.ConnectionLimit))
-	}
+// sameServers reports whether the instances are those of the last snapshot: their table
+// has not changed, and none of them is kept only for a while.
+func (m *Mirror) sameServers(built map[string]uint64, old *snapshot) bool {
+	return old.servers != nil && m.built[Servers] == built[Servers] && len(old.missing) == 0 && !old.rewriting
+}
+
+// indexServers lists the servers by service.
+func (s *snapshot) indexServers() {
 	s.byService = map[string][]server.Server{}
 	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
 		in := s.servers[id]
@@ -74,6 +82,15 @@
 	}
 }
 
+// listServices lists the services in the policy.
+func (s *snapshot) listServices(old *snapshot) {
+	if s.policy == old.policy {
+		s.services = old.services
+		return
+	}
+	s.services = slices.Sorted(maps.Keys(s.policy.ConnectionLimit))
+}
+
 // isBuilt reports whether the current snapshot has all changes of a table. It waits for
 // a rebuild under way.
 func (m *Mirror) isBuilt(name string) bool {
@@ -138,13 +155,16 @@
 // have been gone for less than missingGrace.
 func (m *Mirror) buildServers(next, old *snapshot) {
 	rows, _, asOf := m.Copy(Servers)
+	entries := make(decodedRows[server.Server], len(rows))
 	for _, r := range rows {
-		s, err := m.decoder.Server(r.Key, r.Value)
-		if err != nil {
+		d := m.serverEntries.decode(entries, r, m.decoder.Server)
+		if d.err != nil {
 			continue // an entry of another writer is no instance; not logged, since it may stay for hours
 		}
-		next.servers[s.ID] = s
+		next.servers[d.item.ID] = d.item
 	}
+	m.serverEntries = entries
+	next.rewriting = m.beingRewritten(Servers)
 	m.keepLeaving(next, old)
 	for id, s := range old.servers {
 		if _, ok := next.servers[id]; ok {
@@ -213,6 +233,8 @@
 func (m *Mirror) buildFleet(next *snapshot) {
 	rows, version, _ := m.Copy(Fleet)
 	next.eraOpen = tuple.Era(version) == 0
+	leaders := decodedRows[leader.Leader]{}
+	registrations := decodedRows[host.Host]{}
 	for _, r := range rows {
 		if r.Key == EraKey(tuple.Era(version)) {
 			next.eraOpen = true
@@ -220,12 +242,12 @@
 			continue
 		}
 		if service, ok := strings.CutPrefix(r.Key, LeaderPrefix); ok {
-			var l leader.Leader
-			if err := json.Unmarshal(r.Value, &l); err != nil {
-				klog.ErrorS(err, "the record of a primary can't be decoded", "service", service)
+			d := m.leaderRows.decode(leaders, r, decodeLeader)
+			if d.err != nil {
+				klog.ErrorS(d.err, "the record of a primary can't be decoded", "service", service)
 				continue
 			}
-			next.leaders[service] = l
+			next.leaders[service] = d.item
 			next.leaderVersions[service] = r.Version
 			continue
 		}
@@ -233,20 +255,56 @@
 		if !ok {
 			continue
 		}
-		var reg registration
-		if err := json.Unmarshal(r.Value, &reg); err != nil {
-			klog.ErrorS(err, "the registration of a host can't be decoded", "host", name)
+		d := m.registrationRows.decode(registrations, r, decodeRegistration)
+		if d.err != nil {
+			klog.ErrorS(d.err, "the registration of a host can't be decoded", "host", name)
 			continue
 		}
-		next.registrations[name] = host.Host{
-			Name:        name,
-			Address:     reg.Address,
-			DataCentre:  reg.DataCentre,
-			Incarnation: reg.Incarnation,
-			State:       stateOf(reg),
-		}
+		next.registrations[name] = d.item
 		next.registrationVersions[name] = r.Version
 	}
+	m.leaderRows = leaders
+	m.registrationRows = registrations
+}
+
+// decoded is what a row's value says, or why it can't be decoded.
+type decoded[T any] struct {
+	value []byte
+	item  T
+	err   error
+}
+
+// decodedRows are decoded rows by key. While a fleet starts, the tables change with each
+// host that registers, and most rows stay as they are.
+type decodedRows[T any] map[string]decoded[T]
+
+// decode returns the decoded row r, which it adds to next. It is decoded only if its
+// value is not the same as before.
+func (known decodedRows[T]) decode(next decodedRows[T], r tuple.Tuple, decode func(key string, value []byte) (T, error)) decoded[T] {
+	d, ok := known[r.Key]
+	if !ok || !bytes.Equal(d.value, r.Value) {
+		d.value = r.Value
+		d.item, d.err = decode(r.Key, r.Value)
+	}
+	next[r.Key] = d
+	return d
+}
+
+func decodeLeader(_ string, value []byte) (l leader.Leader, err error) {
+	err = json.Unmarshal(value, &l)
+	return l, err
+}
+
+func decodeRegistration(key string, value []byte) (host.Host, error) {
+	var reg registration
+	err := json.Unmarshal(value, &reg)
+	return host.Host{
+		Name:        strings.TrimPrefix(key, HostPrefix),
+		Address:     reg.Address,
+		DataCentre:  reg.DataCentre,
+		Incarnation: reg.Incarnation,
+		State:       stateOf(reg),
+	}, err
 }
 
 func stateOf(reg registration) string {
--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -40,6 +40,9 @@
 	// leaves time after ExpiredFor for two reads of the table, so that a primary
 	// hands over before it is dropped.
 	missingGrace = 4 * time.Second
+	// maxServerSums bounds the hashes of instances' entries that are kept: several times
+	// the instances of the design size, since each new instance has a new key.
+	maxServerSums = 10_000
 )
 
 // source is the platform's store. Watch returns the rows that changed after a
@@ -85,6 +88,13 @@
 	// passedOn are rows of earlier eras that other hosts passed on, by table and
 	// key; see MergeUnrestored.
 	passedOn map[rowID]tuple.Tuple
+	// serverSums are the newest hashes of instances' entries, by key.
+	serverSums map[string]serverSum
+	// serverEntries, leaderRows and registrationRows are the rows as decoded for the
+	// current snapshot.
+	serverEntries    decodedRows[server.Server]
+	leaderRows       decodedRows[leader.Leader]
+	registrationRows decodedRows[host.Host]
 }
 
 // rowID names a row.
@@ -135,7 +145,9 @@
 	services  []string
 	// missing holds, for each instance in servers without an entry, the as-of
 	// time of the first copy that lacks the entry.
-	missing        map[string]time.Duration
+	missing map[string]time.Duration
+	// rewriting says that entries may be older than the servers; see keepLeaving.
+	rewriting      bool
 	leaders        map[string]leader.Leader
 	leaderVersions map[string]uint64
 	// eraRowVersion is the version of the row that opens the era of the fleet
@@ -162,10 +174,11 @@
 			Servers:   servers,
 			Fleet:     Fleet,
 		},
-		tables:   map[string]*table{},
-		started:  uptime.Now(),
-		changed:  make(chan struct{}),
-		passedOn: map[rowID]tuple.Tuple{},
+		tables:     map[string]*table{},
+		started:    uptime.Now(),
+		changed:    make(chan struct{}),
+		passedOn:   map[rowID]tuple.Tuple{},
+		serverSums: map[string]serverSum{},
 	}
 	for name := range m.names {
 		m.tables[name] = &table{
@@ -371,14 +384,33 @@
 }
 
 // hashServer returns a hash of an instance's entry that changes with what the entry
-// says. Instances write their entries about once a second, mostly to say the same.
+// says. Instances write their entries about once a second, mostly to say the same. The
+// caller holds the table's lock.
 func (m *Mirror) hashServer(r tuple.Tuple) uint64 {
 	s, err := m.decoder.Server(r.Key, r.Value)
 	if err != nil {
 		return hashVersion(r)
 	}
 	s.ColdFor = min(s.ColdFor, 1) // whether it is cold at all
-	return xxhash.Sum64String(fmt.Sprintf("%+v", s))
+	if known, ok := m.serverSums[r.Key]; ok && known.server == s {
+		return known.sum
+	}
+	// Hosts compare these sums with those of earlier builds, which hash the same text.
+	sum := xxhash.Sum64String(fmt.Sprintf("%+v", s))
+	if len(m.serverSums) >= maxServerSums {
+		clear(m.serverSums)
+	}
+	m.serverSums[r.Key] = serverSum{
+		server: s,
+		sum:    sum,
+	}
+	return sum
+}
+
+// serverSum is the hash of an instance's entry.
+type serverSum struct {
+	server server.Server
+	sum    uint64
 }
 
 // replace reports whether the rows changed.
--- a/internal/services/poller/poller.go
+++ b/internal/services/poller/poller.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -29,6 +31,15 @@
 	// maxPollers is how many hosts in the ranking poll a primary. The later
 	// ones only do so when those before them can't.
 	maxPollers = 3
+	// minPause and maxPause bound the pause after a poll without a position, which
+	// doubles: an instance that refuses connections since it has too many must not be
+	// asked for one more ten times a second. With maxPause a primary that fails after
+	// it refused is noticed before it has been silent for 0.9 s, when it is replaced.
+	minPause = 100 * time.Millisecond
+	maxPause = 600 * time.Millisecond
+	// maxRunning bounds the polls under way. A host of the design size polls six
+	// primaries; one that hears of no other host would poll all 1,100.
+	maxRunning = 64
 	// leaseRenewalInterval is how old the lease must be before the replicas are
 	// asked to renew it: a fifth of the lease's time.
 	leaseRenewalInterval = 500 * time.Millisecond
@@ -56,16 +67,32 @@
 // state to other hosts at once.
 type fleet interface {
 	Rank(duty string) int
+	IsAmong(duty string, n int) bool
+	KnowsFleet() bool
 	PushNow()
 }
 
-// Poller polls primaries, with up to one goroutine for each service.
+// Poller polls primaries, with up to one goroutine for each of maxRunning services.
 type Poller struct {
 	directory directory
 	views     views
 	hosts     fleet
 	prober    *probe.Prober
-	running   map[string]chan struct{}
+	services  map[string]*serviceState
+	// running holds an element for each poll under way.
+	running chan struct{}
+}
+
+// serviceState is what is kept of one service between two checks.
+type serviceState struct {
+	// duty is the name under which hosts are ranked for polling the primary.
+	duty string
+	// polling says that a poll is under way. The other fields belong to the poll
+	// until it ends.
+	polling atomic.Bool
+	// nextPoll is when the primary may be polled again, after the present pause.
+	nextPoll time.Duration
+	pause    time.Duration
 }
 
 // New returns a poller.
@@ -75,7 +102,8 @@
 		views:     v,
 		hosts:     h,
 		prober:    p,
-		running:   map[string]chan struct{}{},
+		services:  map[string]*serviceState{},
+		running:   make(chan struct{}, maxRunning),
 	}
 }
 
@@ -97,62 +125,106 @@
 }
 
 // startRounds starts a poll of each service for which this host is one of the
-// pollers and has no poll under way.
+// pollers, has no poll under way and needs an answer. It begins with a random service,
+// so that each gets its turn when there are too many.
 func (p *Poller) startRounds(ctx context.Context, parts *conc.WaitGroup) {
-	for _, service := range p.directory.Services() {
-		if c := p.running[service]; c != nil {
-			select {
-			case <-c:
-			default:
-				continue
+	if !p.hosts.KnowsFleet() {
+		return // it would take itself for one of few hosts, and poll all primaries
+	}
+	now := uptime.Now()
+	list := p.directory.Services()
+	first := 0
+	if len(list) > 0 {
+		first = rand.N(len(list))
+	}
+	for i := range list {
+		service := list[(first+i)%len(list)]
+		state, ok := p.services[service]
+		if !ok {
+			state = &serviceState{
+				duty: "pulse/" + service,
 			}
+			p.services[service] = state
 		}
-		rank := p.hosts.Rank("pulse/" + service)
-		if rank >= maxPollers {
+		if state.polling.Load() || now < state.nextPoll || !p.hosts.IsAmong(state.duty, maxPollers) {
 			continue
 		}
-		c := make(chan struct{})
-		p.running[service] = c
+		v := p.views.View(service)
+		r := p.need(v, state.duty)
+		if !r.position && !r.lease {
+			continue
+		}
+		select {
+		case p.running <- struct{}{}:
+		default:
+			return // the others get their turn in a later check
+		}
+		state.polling.Store(true)
 		parts.Go(func() {
-			defer close(c)
+			defer func() {
+				<-p.running
+				state.polling.Store(false)
+			}()
 			guard.Run("poll", func() {
-				p.pollService(ctx, service, rank)
+				p.pollService(ctx, v, state, r)
 			})
 		})
 	}
 }
 
-// pollService polls the primary of a service if its newest position is too old,
-// and renews the lease if the store does not answer.
-func (p *Poller) pollService(ctx context.Context, service string, rank int) {
-	v := p.views.View(service)
+// round is what a poll of a service is for.
+type round struct {
+	position bool
+	lease    bool
+}
+
+// need returns what this host has to ask a service's instances for: the primary's
+// position if its newest one is too old, and a renewal of the lease if the store does
+// not answer.
+func (p *Poller) need(v *dbview.View, duty string) round {
+	asked, _, known := v.NewestPosition()
+	age := uptime.Now() - asked
+	return round{
+		position: !known || age > maxPositionAge && age > maxPositionAge*time.Duration(p.hosts.Rank(duty)+1),
+		lease:    uptime.Now()-p.directory.LeasesAsOf() > maxTableAge && v.LeaseAge() > leaseRenewalInterval,
+	}
+}
+
+// pollService polls the primary of a service, and renews the lease, as far as needed.
+func (p *Poller) pollService(ctx context.Context, v *dbview.View, state *serviceState, r round) {
 	l, _ := v.Leader()
 	s, ok := p.directory.Server(l.Primary)
 	if !ok {
 		return
 	}
-	asked, _, known := v.NewestPosition()
-	stale := maxPositionAge * time.Duration(rank+1)
-	if !known || uptime.Now()-asked > stale {
-		p.pollPosition(ctx, v, s)
+	if !r.position || p.pollPosition(ctx, v, s) {
+		state.pause = 0
+	} else {
+		state.pause = min(max(2*state.pause, minPause), maxPause)
+		if r.lease {
+			state.pause = min(state.pause, maxPause/2) // several trials in the time of a lease
+		}
+		state.nextPoll = uptime.Now() + state.pause
 	}
-	if uptime.Now()-p.directory.LeasesAsOf() > maxTableAge && v.LeaseAge() > leaseRenewalInterval {
+	if r.lease {
 		p.renewLease(ctx, v, s)
 	}
 }
 
-// pollPosition asks the primary where its log ends.
-func (p *Poller) pollPosition(ctx context.Context, v *dbview.View, s server.Server) {
+// pollPosition asks the primary where its log ends. It reports whether the primary told.
+func (p *Poller) pollPosition(ctx context.Context, v *dbview.View, s server.Server) bool {
 	asked := uptime.Now()
 	r, outcome, err := p.prober.Status(ctx, s)
 	if err != nil {
 		v.RecordFailure(s.ID)
-		return
+		return false
 	}
 	v.RecordAlive(s.ID)
-	if outcome == reply.Done && r.Primary {
-		v.RecordPosition(s.ID, asked, r.Received)
+	if outcome != reply.Done || !r.Primary {
+		return false
 	}
+	v.RecordPosition(s.ID, asked, r.Received)
+	return true
 }
 
 // renewLease renews the lease if all replicas still follow the primary. A host
--- a/internal/services/poller/poller_test.go
+++ b/internal/services/poller/poller_test.go
@@ -208,6 +208,8 @@
 func (w *world) AsOf(string) time.Duration { return 0 }
 func (w *world) LeasesAsOf() time.Duration { return 0 }
 func (w *world) Rank(string) int           { return 0 }
+func (w *world) IsAmong(string, int) bool  { return true }
+func (w *world) KnowsFleet() bool          { return true }
 func (w *world) PushNow()                  {}
 func (w *world) View(string) *dbview.View  { return w.view }
 
