Exchange reports of the services that are asked for

Each gossip message held the reports of all services, in both directions. The receiver of a request uses only leases that replicas renewed; the others are now only named, and an answer holds the reports of the named services, if any of it is newer than 4 s. A host of a large fleet names the services that its callers used within 5 s, or that were asked for here within 2 s, at most 100, and those whose lease the store did not renew within a second.

The emulator passes orders to promote to the group of the instance.

--- a/internal/services/dbview/choose.go
+++ b/internal/services/dbview/choose.go
@@ -94,6 +94,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.instance(id).running++
+	v.used = uptime.Now()
 }
 
 // RecordAnswer records that an instance answered a statement after the time took.
--- a/internal/services/dbview/dbview.go
+++ b/internal/services/dbview/dbview.go
@@ -84,6 +84,8 @@
 	peerAnswered time.Duration
 	// openTransactions counts the transactions open on the primary.
 	openTransactions int
+	// used is when a caller of this host last used the service.
+	used time.Duration
 }
 
 // instance is what the host knows of one instance.
@@ -292,6 +294,7 @@
 func (v *View) MinPosition(since time.Duration, own logpos.Position) (logpos.Position, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.used = uptime.Now()
 	p, ok := v.watermarks.MinPosition(since)
 	l, _ := v.leader()
 	if !ok && l.Phase == leader.Changing && !l.LogEnd.IsZero() && v.tables.AsOf(v.fleet) >= since {
@@ -347,6 +350,13 @@
 	return v.leasePrimary, v.leaseRenewed
 }
 
+// LastUse returns when a caller of this host last used the service; 0 if none did.
+func (v *View) LastUse() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.used
+}
+
 // LastAnswer returns when the instance last answered this host or, as far as
 // known, another one.
 func (v *View) LastAnswer(id string) time.Duration {
--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -75,7 +75,8 @@
 // views holds what this host knows of each service: its instances' roles and
 // log positions.
 type views interface {
-	Reports() []*wasabislipv1.ServiceReport
+	Questions(all bool) []*wasabislipv1.ServiceReport
+	Reports(questions []*wasabislipv1.ServiceReport) []*wasabislipv1.ServiceReport
 	MergeReports(list []*wasabislipv1.ServiceReport, since time.Duration)
 	PeerHasNewerLease(list []*wasabislipv1.ServiceReport) bool
 	UnreachableServices(limit time.Duration) []string
@@ -279,7 +280,7 @@
 	c := wasabislipv1connect.NewGossipServiceClient(g.client, "http://"+h.Address)
 	r, err := c.Spread(ctx, connect.NewRequest(&wasabislipv1.SpreadRequest{
 		From:         g.self.Name,
-		Knowledge:    g.knowledge(h.Name, nil, hosts && g.pushesAll(), g.packsFor(h.Name)),
+		Knowledge:    g.knowledge(h.Name, g.views.Questions(!g.isLarge()), nil, hosts && g.pushesAll(), g.packsFor(h.Name)),
 		WithoutHosts: !hosts,
 	}))
 	if err != nil {
@@ -318,7 +319,7 @@
 	}
 	g.waitFirstCopies(ctx, k.GetTables())
 	return connect.NewResponse(&wasabislipv1.SpreadResponse{
-		Knowledge: g.knowledge(r.Msg.GetFrom(), k.GetTables(), !r.Msg.GetWithoutHosts(), k.GetAcceptsPacked()),
+		Knowledge: g.knowledge(r.Msg.GetFrom(), g.views.Reports(k.GetServices()), k.GetTables(), !r.Msg.GetWithoutHosts(), k.GetAcceptsPacked()),
 	}), nil
 }
 
--- a/internal/services/gossip/spread_test.go
+++ b/internal/services/gossip/spread_test.go
@@ -19,7 +19,10 @@
 // demand.
 type emptySources struct{}
 
-func (emptySources) Reports() []*wasabislipv1.ServiceReport { return nil }
+func (emptySources) Questions(bool) []*wasabislipv1.ServiceReport { return nil }
+func (emptySources) Reports([]*wasabislipv1.ServiceReport) []*wasabislipv1.ServiceReport {
+	return nil
+}
 func (emptySources) PeerHasNewerLease([]*wasabislipv1.ServiceReport) bool {
 	return false
 }
--- a/internal/services/gossip/tables.go
+++ b/internal/services/gossip/tables.go
@@ -32,13 +32,14 @@
 	return slices.Contains([]string{mirror.Operators, mirror.Servers, mirror.Fleet}, name)
 }
 
-// knowledge returns this host's state as a message to another host. theirs describes
+// knowledge returns this host's state as a message to another host, with the questions
+// or reports about services. theirs describes
 // that host's copies of the tables; a table that is older there is sent with its
 // rows. all says whether the reports of all live hosts are sent, packs whether that
 // host accepts them packed.
-func (g *Gossip) knowledge(to string, theirs []*wasabislipv1.Table, all, packs bool) *wasabislipv1.Knowledge {
+func (g *Gossip) knowledge(to string, services []*wasabislipv1.ServiceReport, theirs []*wasabislipv1.Table, all, packs bool) *wasabislipv1.Knowledge {
 	k := &wasabislipv1.Knowledge{
-		Services:      g.views.Reports(),
+		Services:      services,
 		AcceptsPacked: true,
 	}
 	g.setHosts(k, all, packs)
--- a/internal/services/views/views.go
+++ b/internal/services/views/views.go
@@ -3,6 +3,9 @@
 package views
 
 import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +23,17 @@
 	// minRenewalGain is how much newer the other host's lease has to be, so that
 	// hosts do not fetch from each other without end.
 	minRenewalGain = 200 * time.Millisecond
+	// usedFor is how long after a caller's statement a host of a large fleet asks the
+	// others for a service's reports, askedFor how long it does so for another host:
+	// several exchanges.
+	usedFor  = 5 * time.Second
+	askedFor = 2 * time.Second
+	// maxQuestions bounds the services in a request of a large fleet: with their
+	// reports they take some 6 KB, and a leaf makes three requests a second.
+	maxQuestions = 100
+	// usefulFor is the age up to which a report is told: positions are kept for 4 s,
+	// and leases and silence are shorter.
+	usefulFor = 4 * time.Second
 )
 
 // Views holds the views by service. It is safe for concurrent use.
@@ -28,6 +42,10 @@
 
 	mu    sync.Mutex
 	views map[string]*dbview.View
+	// sorted are the views by service; nil after a new one.
+	sorted []*dbview.View
+	// asked is when another host last asked for a service.
+	asked map[string]time.Duration
 }
 
 // New returns a set of views. newView creates the view of a service.
@@ -35,6 +53,7 @@
 	return &Views{
 		newView: newView,
 		views:   map[string]*dbview.View{},
+		asked:   map[string]time.Duration{},
 	}
 }
 
@@ -46,50 +65,116 @@
 	if !ok {
 		v = vs.newView(service)
 		vs.views[service] = v
+		vs.sorted = nil
 	}
 	return v
 }
 
-// all returns the views sorted by service.
+// all returns the views sorted by service. The list must not be changed.
 func (vs *Views) all() []*dbview.View {
 	vs.mu.Lock()
 	defer vs.mu.Unlock()
-	list := make([]*dbview.View, 0, len(vs.views))
-	for _, v := range vs.views {
-		list = append(list, v)
+	if vs.sorted == nil {
+		vs.sorted = slices.SortedFunc(maps.Values(vs.views), func(a, b *dbview.View) int {
+			return cmp.Compare(a.Service(), b.Service())
+		})
 	}
-	slices.SortFunc(list, func(a, b *dbview.View) int {
-		if a.Service() < b.Service() {
-			return -1
-		}
-		return 1
-	})
-	return list
+	return vs.sorted
 }
 
-// Reports returns what is known of each service's primary, for other hosts.
-func (vs *Views) Reports() []*wasabislipv1.ServiceReport {
+// Questions returns what a request to another host asks and tells: the services whose
+// reports are to be in the answer, and the leases that were renewed by the replicas
+// lately. These are all services in a small fleet (all), and otherwise those that this
+// host's callers use, or that others ask for here, at most maxQuestions.
+func (vs *Views) Questions(all bool) []*wasabislipv1.ServiceReport {
 	now := uptime.Now()
-	var list []*wasabislipv1.ServiceReport
+	var list, asked []*wasabislipv1.ServiceReport
 	for _, v := range vs.all() {
-		l, _ := v.Leader()
-		asked, p, _ := v.NewestPosition()
 		r := &wasabislipv1.ServiceReport{
-			Service:    v.Service(),
-			Primary:    l.Primary,
-			Term:       p.Term,
-			Offset:     p.Offset,
-			AskedMs:    age(now, asked),
-			AnsweredMs: age(now, v.LastAnswer(l.Primary)),
+			Service: v.Service(),
 		}
-		if id, asOf := v.LastLeaseRenewal(); id == l.Primary {
+		if id, asOf := v.LastLeaseRenewal(); asOf > 0 && now-asOf < dbview.Lease {
+			r.Primary = id
 			r.ProofMs = age(now, asOf)
+			list = append(list, r)
+			continue
+		}
+		if v.LeaseAge() > renewalAge {
+			list = append(list, r)
+			continue
+		}
+		if all || now-v.LastUse() < usedFor || now-vs.lastAsked(v.Service()) < askedFor {
+			asked = append(asked, r)
+		}
+	}
+	if !all && len(asked) > maxQuestions {
+		rand.Shuffle(len(asked), func(i, j int) {
+			asked[i], asked[j] = asked[j], asked[i]
+		})
+		asked = asked[:maxQuestions]
+	}
+	return append(list, asked...)
+}
+
+// lastAsked returns when another host last asked this one for a service.
+func (vs *Views) lastAsked(service string) time.Duration {
+	vs.mu.Lock()
+	defer vs.mu.Unlock()
+	return vs.asked[service]
+}
+
+// Reports returns what is known of the primaries of the services that a request of
+// another host names. Those of which nothing is known that is of use are left out.
+func (vs *Views) Reports(questions []*wasabislipv1.ServiceReport) []*wasabislipv1.ServiceReport {
+	now := uptime.Now()
+	var list []*wasabislipv1.ServiceReport
+	for _, q := range questions {
+		v, ok := vs.noteAsked(q.GetService(), now)
+		if !ok {
+			continue
+		}
+		if r := report(v, now); r != nil {
+			list = append(list, r)
 		}
-		list = append(list, r)
 	}
 	return list
 }
 
+// noteAsked notes that another host asked for a service, and returns its view.
+func (vs *Views) noteAsked(service string, now time.Duration) (*dbview.View, bool) {
+	vs.mu.Lock()
+	defer vs.mu.Unlock()
+	v, ok := vs.views[service]
+	if ok {
+		vs.asked[service] = now
+	}
+	return v, ok
+}
+
+// report returns what is known of a service's primary; nil if none of it is newer than
+// usefulFor.
+func report(v *dbview.View, now time.Duration) *wasabislipv1.ServiceReport {
+	l, _ := v.Leader()
+	asked, p, _ := v.NewestPosition()
+	answered := v.LastAnswer(l.Primary)
+	id, renewed := v.LastLeaseRenewal()
+	if id != l.Primary {
+		renewed = 0
+	}
+	if latest := max(asked, answered, renewed); latest == 0 || now-latest >= usefulFor {
+		return nil
+	}
+	return &wasabislipv1.ServiceReport{
+		Service:    v.Service(),
+		Primary:    l.Primary,
+		Term:       p.Term,
+		Offset:     p.Offset,
+		AskedMs:    age(now, asked),
+		AnsweredMs: age(now, answered),
+		ProofMs:    age(now, renewed),
+	}
+}
+
 // age returns the milliseconds since then, rounded up so that nothing seems newer
 // than it is. Zero means unknown.
 func age(now, then time.Duration) uint64 {
--- a/internal/standin/linedb/linedb.go
+++ b/internal/standin/linedb/linedb.go
@@ -154,6 +154,17 @@
 	return best
 }
 
+// RunningPrimary returns the primary of the newest term that is not down, or "".
+func (g *Group) RunningPrimary() string {
+	id := g.Primary()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if id == "" || g.instances[id].down {
+		return ""
+	}
+	return id
+}
+
 // IsPrimary reports whether an instance takes itself for the primary.
 func (g *Group) IsPrimary(id string) bool {
 	g.mu.Lock()
--- a/internal/standin/simenv/simenv.go
+++ b/internal/standin/simenv/simenv.go
@@ -5,12 +5,16 @@
 package simenv
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -133,7 +137,7 @@
 		}
 	}
 	e.serve(StoreAddress, e.Store)
-	e.serve(orderAddress, e.Group)
+	e.serve(orderAddress, http.HandlerFunc(e.serveOrder))
 	for i, dc := range dataCentres {
 		e.addInstance(i, dc)
 	}
@@ -215,6 +219,27 @@
 	})
 }
 
+// serveOrder passes an order to promote an instance to the group of the instance.
+func (e *Environment) serveOrder(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	var order struct {
+		ID string `json:"id"`
+	}
+	_ = json.Unmarshal(body, &order) // the group answers to an order that can't be read
+	for _, g := range e.idle {
+		if strings.HasPrefix(order.ID, g.Service+"-") {
+			g.ServeHTTP(w, r)
+			return
+		}
+	}
+	e.Group.ServeHTTP(w, r)
+}
+
 // ServiceName returns the name of the service at index k of those that AddServices adds.
 func ServiceName(k int) string {
 	return fmt.Sprintf("s-%d", k)
