Poll primaries by the ranking for replacing them

A primary is replaced by a host that failed to reach it, after 1.2 s for each rank before it.

A poller that gets no answer asks the other two whether they got one, since their reports take longer than 0.9 s in a large fleet, and a primary that answers another host is not silent.

--- a/internal/services/gossip/hosts.go
+++ b/internal/services/gossip/hosts.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
 
 	wasabislipv1 "wasabislip.example/wasabislip/internal/gen/wasabislip/v1"
+	"wasabislip.example/wasabislip/internal/modules/guard"
 	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/pkg/model/host"
 )
@@ -195,6 +197,21 @@
 	return before < n
 }
 
+// AskFirst exchanges with the other hosts among the first n for a duty, without the
+// reports of hosts. It returns once they have answered, or did not in time.
+func (g *Gossip) AskFirst(ctx context.Context, duty string, n int) {
+	list := first(sortByRank(g.topology().ranked, duty), n)
+	var calls conc.WaitGroup
+	for _, h := range list {
+		calls.Go(func() {
+			guard.Run("gossip-ask", func() {
+				g.exchange(ctx, h, false)
+			})
+		})
+	}
+	calls.Wait()
+}
+
 // amongKey is a question to IsAmong.
 type amongKey struct {
 	duty string
--- a/internal/services/poller/poller.go
+++ b/internal/services/poller/poller.go
@@ -17,6 +17,7 @@
 	"wasabislip.example/wasabislip/internal/modules/guard"
 	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/internal/services/dbview"
+	"wasabislip.example/wasabislip/internal/services/failov"
 	"wasabislip.example/wasabislip/internal/services/probe"
 )
 
@@ -37,6 +38,9 @@
 	// it refused is noticed before it has been silent for 0.9 s, when it is replaced.
 	minPause = 100 * time.Millisecond
 	maxPause = 600 * time.Millisecond
+	// maxUnconfirmed is the age of a primary's last known answer to any host from which
+	// on the other pollers are asked for a newer one.
+	maxUnconfirmed = 300 * time.Millisecond
 	// maxRunning bounds the polls under way. A host of the design size polls six
 	// primaries; one that hears of no other host would poll all 1,100.
 	maxRunning = 64
@@ -69,6 +73,7 @@
 	Rank(duty string) int
 	IsAmong(duty string, n int) bool
 	KnowsFleet() bool
+	AskFirst(ctx context.Context, duty string, n int)
 	PushNow()
 }
 
@@ -85,7 +90,8 @@
 
 // serviceState is what is kept of one service between two checks.
 type serviceState struct {
-	// duty is the name under which hosts are ranked for polling the primary.
+	// duty is the name under which hosts are ranked for polling the primary: that for
+	// replacing it, so that those who may replace it notice that it fails.
 	duty string
 	// polling says that a poll is under way. The other fields belong to the poll
 	// until it ends.
@@ -142,7 +148,7 @@
 		state, ok := p.services[service]
 		if !ok {
 			state = &serviceState{
-				duty: "pulse/" + service,
+				duty: failov.DutyPrefix + service,
 			}
 			p.services[service] = state
 		}
@@ -197,7 +203,7 @@
 	if !ok {
 		return
 	}
-	if !r.position || p.pollPosition(ctx, v, s) {
+	if !r.position || p.pollPosition(ctx, v, s, state.duty) {
 		state.pause = 0
 	} else {
 		state.pause = min(max(2*state.pause, minPause), maxPause)
@@ -212,11 +218,17 @@
 }
 
 // pollPosition asks the primary where its log ends. It reports whether the primary told.
-func (p *Poller) pollPosition(ctx context.Context, v *dbview.View, s server.Server) bool {
+// If it does not answer, the other pollers are asked whether it answers them.
+func (p *Poller) pollPosition(ctx context.Context, v *dbview.View, s server.Server, duty string) bool {
 	asked := uptime.Now()
 	r, outcome, err := p.prober.Status(ctx, s)
 	if err != nil {
 		v.RecordFailure(s.ID)
+		// It is not silent if it answers another one; in a large fleet their reports
+		// take longer than the time after which it is replaced.
+		if uptime.Now()-v.LastAnswer(s.ID) > maxUnconfirmed {
+			p.hosts.AskFirst(ctx, duty, maxPollers-1)
+		}
 		return false
 	}
 	v.RecordAlive(s.ID)
--- a/internal/services/poller/poller_test.go
+++ b/internal/services/poller/poller_test.go
@@ -210,8 +210,11 @@
 func (w *world) Rank(string) int           { return 0 }
 func (w *world) IsAmong(string, int) bool  { return true }
 func (w *world) KnowsFleet() bool          { return true }
-func (w *world) PushNow()                  {}
-func (w *world) View(string) *dbview.View  { return w.view }
+
+func (w *world) AskFirst(context.Context, string, int) {}
+
+func (w *world) PushNow()                 {}
+func (w *world) View(string) *dbview.View { return w.view }
 
 func (w *world) Registered() (since, until time.Duration, ok bool) {
 	return 0, math.MaxInt64, true
--- a/internal/services/views/views.go
+++ b/internal/services/views/views.go
@@ -85,7 +85,8 @@
 // Questions returns what a request to another host asks and tells: the services whose
 // reports are to be in the answer, and the leases that were renewed by the replicas
 // lately. These are all services in a small fleet (all), and otherwise those that this
-// host's callers use, or that others ask for here, at most maxQuestions.
+// host's callers use, or that others ask for here, at most maxQuestions, and those whose
+// lease the store did not renew or whose primary this host can't reach.
 func (vs *Views) Questions(all bool) []*wasabislipv1.ServiceReport {
 	now := uptime.Now()
 	var list, asked []*wasabislipv1.ServiceReport
@@ -99,7 +100,7 @@
 			list = append(list, r)
 			continue
 		}
-		if v.LeaseAge() > renewalAge {
+		if _, failing := v.UnreachableSince(); failing || v.LeaseAge() > renewalAge {
 			list = append(list, r)
 			continue
 		}
