Tell hosts of a large fleet by beats

An answer held the reports of all live hosts, three times a second for each host. In a large fleet it now holds three bytes a host: the age of the newest report and how far the applied version is behind the newest, in the order of hashes of what else the reports say, if the request's digest of these is the same, and otherwise with the hashes. Reports that changed within 1.5 s come beside them. A host that can't assign a beat, and each host every 10 s, asks for the list. Hosts of earlier builds ignore the table that carries beats and get lists.

--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -119,6 +119,12 @@
 	packed   packedList
 	// packedTables are rows of tables that were sent lately.
 	packedTables packedTables
+	// marks are the other hosts by the marks of their reports. listNeeded says that a
+	// beat could not be assigned to one, and lastList is when the list of hosts last
+	// came.
+	marks      map[uint64]*peer
+	listNeeded bool
+	lastList   time.Duration
 	// unreachable caches CountUnreachable.
 	unreachable unreachableCount
 	// hostsChanged says that a host came, went, restarted or stopped.
@@ -144,6 +150,10 @@
 	alive      bool
 	// packs says that the host accepts packed reports.
 	packs bool
+	// mark is the hash of what the report says, and changed when it last changed; see
+	// beats.go.
+	mark    uint64
+	changed time.Duration
 	// listed says whether the topology lists the host as alive.
 	listed bool
 }
@@ -163,6 +173,7 @@
 		started:       now,
 		knownSince:    now,
 		hosts:         map[string]*peer{},
+		marks:         map[uint64]*peer{},
 		client: &http.Client{
 			Transport: &http.Transport{
 				DialContext:         dialer.withTimeout(dialTimeout),
@@ -276,11 +287,16 @@
 func (g *Gossip) exchange(ctx context.Context, h host.Host, hosts bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	sent := g.knowledge(h.Name, g.views.Questions(!g.isLarge()), nil, hosts && g.pushesAll(), g.packsFor(h.Name))
+	var marks []uint64
+	if hosts {
+		marks = g.askForBeats(sent)
+	}
 	asked := uptime.Now()
 	c := wasabislipv1connect.NewGossipServiceClient(g.client, "http://"+h.Address)
 	r, err := c.Spread(ctx, connect.NewRequest(&wasabislipv1.SpreadRequest{
 		From:         g.self.Name,
-		Knowledge:    g.knowledge(h.Name, g.views.Questions(!g.isLarge()), nil, hosts && g.pushesAll(), g.packsFor(h.Name)),
+		Knowledge:    sent,
 		WithoutHosts: !hosts,
 	}))
 	if err != nil {
@@ -290,6 +306,11 @@
 	k := r.Msg.GetKnowledge()
 	g.mergeHosts(k.GetHosts(), asked)
 	g.mergePacked(k, asked)
+	if t := findBeats(k.GetTables()); t != nil && marks != nil {
+		g.mergeBeats(t, marks, markOf(sent.GetHosts()[0]), asked)
+	} else if hosts {
+		g.noteList()
+	}
 	g.notePacks(h.Name, k.GetAcceptsPacked())
 	g.mergeTables(k.GetTables(), asked)
 	g.mergeUnrestored(k.GetTables())
@@ -318,8 +339,14 @@
 		g.pullFrom(r.Msg.GetFrom())
 	}
 	g.waitFirstCopies(ctx, k.GetTables())
+	hosts := !r.Msg.GetWithoutHosts()
+	beats := findBeats(k.GetTables())
+	answer := g.knowledge(r.Msg.GetFrom(), g.views.Reports(k.GetServices()), k.GetTables(), hosts && beats == nil, k.GetAcceptsPacked())
+	if hosts && beats != nil && !g.addBeats(answer, beats) {
+		g.setHosts(answer, true, k.GetAcceptsPacked())
+	}
 	return connect.NewResponse(&wasabislipv1.SpreadResponse{
-		Knowledge: g.knowledge(r.Msg.GetFrom(), g.views.Reports(k.GetServices()), k.GetTables(), !r.Msg.GetWithoutHosts(), k.GetAcceptsPacked()),
+		Knowledge: answer,
 	}), nil
 }
 
--- a/internal/services/gossip/report.go
+++ b/internal/services/gossip/report.go
@@ -84,25 +84,31 @@
 		if now-p.lastHeard > aliveTimeout {
 			continue
 		}
-		list = append(list, &wasabislipv1.HostReport{
-			Name:           p.report.GetName(),
-			Address:        p.report.GetAddress(),
-			RunAddress:     p.report.GetRunAddress(),
-			DataCentre:     p.report.GetDataCentre(),
-			Incarnation:    p.report.GetIncarnation(),
-			Sequence:       p.report.GetSequence(),
-			AgeMs:          uint64((now - p.lastHeard) / time.Millisecond),
-			Stopping:       p.report.GetStopping(),
-			Seen:           p.report.GetSeen(),
-			Unreachable:    p.report.GetUnreachable(),
-			Unfinished:     p.report.GetUnfinished(),
-			Demands:        p.report.GetDemands(),
-			DemandsVersion: p.report.GetDemandsVersion(),
-		})
+		list = append(list, passOn(p, now))
 	}
 	return list
 }
 
+// passOn returns the newest report of another host, for others.
+func passOn(p *peer, now time.Duration) *wasabislipv1.HostReport {
+	return &wasabislipv1.HostReport{
+		Name:           p.report.GetName(),
+		Address:        p.report.GetAddress(),
+		RunAddress:     p.report.GetRunAddress(),
+		DataCentre:     p.report.GetDataCentre(),
+		Incarnation:    p.report.GetIncarnation(),
+		Sequence:       p.report.GetSequence(),
+		AgeMs:          uint64((now - p.lastHeard) / time.Millisecond),
+		Stopping:       p.report.GetStopping(),
+		Seen:           p.report.GetSeen(),
+		Unreachable:    p.report.GetUnreachable(),
+		Unfinished:     p.report.GetUnfinished(),
+		Demands:        p.report.GetDemands(),
+		DemandsVersion: p.report.GetDemandsVersion(),
+		WallMs:         p.report.GetWallMs(),
+	}
+}
+
 // mergeHosts takes the reports of a message; since is when this host sent the
 // request that the message answers, or when the message arrived.
 func (g *Gossip) mergeHosts(list []*wasabislipv1.HostReport, since time.Duration) {
@@ -138,7 +144,12 @@
 			g.hostsChanged = true
 		}
 		p.report = r
-		p.lastHeard = max(p.lastHeard, heard)
+		g.setMark(p, now)
+		last := p.lastHeard
+		p.lastHeard = heard
+		if last > heard {
+			p.advance(last) // beats told of it since
+		}
 	}
 	g.updateLiveness(now)
 	return changed
@@ -165,6 +176,7 @@
 		p.alive = alive
 		if now-p.lastHeard > forgetAfter {
 			delete(g.hosts, name)
+			g.dropMark(p)
 			g.hostsChanged = true
 		}
 	}
