Ask the pollers for positions of services in use

Readers and hubs now ask the hosts that poll the primaries for those services that hosts ask them for, at most 40 exchanges a second.

--- a/internal/models/leader/leader.go
+++ b/internal/models/leader/leader.go
@@ -37,6 +37,12 @@
 	Reason string `json:"reason"`
 }
 
+// Duty returns the name of the duty of watching a service's primary and replacing it, by
+// which hosts are ranked.
+func Duty(service string) string {
+	return "change/" + service
+}
+
 // tokenEraBits is the width of the part of a token that counts within one era.
 const tokenEraBits = 32
 
--- a/internal/services/eras/eras.go
+++ b/internal/services/eras/eras.go
@@ -122,7 +122,7 @@
 func (k *Keeper) bringBack(ctx context.Context, lost map[string]leader.Leader) {
 	_, since := k.Directory.EraSince(mirror.Fleet)
 	for service, l := range lost {
-		delay := time.Duration(k.Hosts.Rank("change/"+service)) * rankDelay
+		delay := time.Duration(k.Hosts.Rank(leader.Duty(service))) * rankDelay
 		if uptime.Now()-since < delay {
 			continue
 		}
--- a/internal/services/failov/failov.go
+++ b/internal/services/failov/failov.go
@@ -23,10 +23,6 @@
 	"wasabislip.example/wasabislip/pkg/model/host"
 )
 
-// DutyPrefix starts the name of the duty of replacing a service's primary, before the
-// service.
-const DutyPrefix = "change/"
-
 const (
 	// checkInterval is the time between two checks of all primaries.
 	checkInterval = 100 * time.Millisecond
@@ -204,7 +200,7 @@
 		state, ok := f.services[service]
 		if !ok {
 			state = &serviceState{
-				duty: DutyPrefix + service,
+				duty: leader.Duty(service),
 			}
 			f.services[service] = state
 		}
--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -76,6 +76,7 @@
 // log positions.
 type views interface {
 	Questions(all bool) []*wasabislipv1.ServiceReport
+	Outdated(limit time.Duration) []string
 	Reports(questions []*wasabislipv1.ServiceReport) []*wasabislipv1.ServiceReport
 	MergeReports(list []*wasabislipv1.ServiceReport, since time.Duration)
 	PeerHasNewerLease(list []*wasabislipv1.ServiceReport) bool
@@ -194,6 +195,9 @@
 	parts.Go(func() {
 		guard.Keep(ctx, "gossip-push", g.pushLoop)
 	})
+	parts.Go(func() {
+		guard.Keep(ctx, "gossip-positions", g.positionLoop)
+	})
 	parts.Wait()
 }
 
--- a/internal/services/gossip/spread_test.go
+++ b/internal/services/gossip/spread_test.go
@@ -20,6 +20,7 @@
 type emptySources struct{}
 
 func (emptySources) Questions(bool) []*wasabislipv1.ServiceReport { return nil }
+func (emptySources) Outdated(time.Duration) []string              { return nil }
 func (emptySources) Reports([]*wasabislipv1.ServiceReport) []*wasabislipv1.ServiceReport {
 	return nil
 }
--- a/internal/services/poller/poller.go
+++ b/internal/services/poller/poller.go
@@ -11,13 +11,13 @@
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"wasabislip.example/wasabislip/internal/models/leader"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/report"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/modules/guard"
 	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/internal/services/dbview"
-	"wasabislip.example/wasabislip/internal/services/failov"
 	"wasabislip.example/wasabislip/internal/services/probe"
 )
 
@@ -148,7 +148,7 @@
 		state, ok := p.services[service]
 		if !ok {
 			state = &serviceState{
-				duty: failov.DutyPrefix + service,
+				duty: leader.Duty(service),
 			}
 			p.services[service] = state
 		}
--- a/internal/services/views/views.go
+++ b/internal/services/views/views.go
@@ -117,6 +117,37 @@
 	return append(list, asked...)
 }
 
+// Outdated returns the services that other hosts ask for here, or that this host's
+// callers use, and whose newest position is older than limit: the one with the oldest
+// first.
+func (vs *Views) Outdated(limit time.Duration) []string {
+	now := uptime.Now()
+	type outdated struct {
+		service string
+		asked   time.Duration
+	}
+	var list []outdated
+	for _, v := range vs.all() {
+		if now-v.LastUse() >= usedFor && now-vs.lastAsked(v.Service()) >= askedFor {
+			continue
+		}
+		if asked, _, ok := v.NewestPosition(); !ok || now-asked > limit {
+			list = append(list, outdated{
+				service: v.Service(),
+				asked:   asked,
+			})
+		}
+	}
+	slices.SortFunc(list, func(a, b outdated) int {
+		return cmp.Compare(a.asked, b.asked)
+	})
+	names := make([]string, 0, len(list))
+	for _, o := range list {
+		names = append(names, o.service)
+	}
+	return names
+}
+
 // lastAsked returns when another host last asked this one for a service.
 func (vs *Views) lastAsked(service string) time.Duration {
 	vs.mu.Lock()
