--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -75,7 +75,9 @@
 // views holds what this host knows of each service: its instances' roles and
 // log positions.
 type views interface {
-	Reports() []*wasabislipv1.ServiceReport
+	Questions(all bool) []*wasabislipv1.ServiceReport
+	Outdated(limit time.Duration) []string
+	Reports(questions []*wasabislipv1.ServiceReport) []*wasabislipv1.ServiceReport
 	MergeReports(list []*wasabislipv1.ServiceReport, since time.Duration)
 	PeerHasNewerLease(list []*wasabislipv1.ServiceReport) bool
 	UnreachableServices(limit time.Duration) []string
@@ -122,12 +124,23 @@
 	packed   packedList
 	// packedTables are rows of tables that were sent lately.
 	packedTables packedTables
+	// marks are the other hosts by the marks of their reports. listNeeded says that a
+	// beat could not be assigned to one, and lastList is when the list of hosts last
+	// came.
+	marks      map[uint64]*peer
+	listNeeded bool
+	lastList   time.Duration
+	// unreachable caches CountUnreachable.
+	unreachable unreachableCount
 	// hostsChanged says that a host came, went, restarted or stopped.
 	hostsChanged bool
 
-	// topologyMu guards cached and its ranks. It is taken before mu.
+	// topologyMu guards cached and its ranks, and the number of known hosts and since
+	// when it is the same. It is taken before mu.
 	topologyMu sync.Mutex
 	cached     *topology
+	knownCount int
+	knownSince time.Duration
 }
 
 // peer is another host.
@@ -145,6 +158,10 @@
 	alive      bool
 	// packs says that the host accepts packed reports.
 	packs bool
+	// mark is the hash of what the report says, and changed when it last changed; see
+	// beats.go.
+	mark    uint64
+	changed time.Duration
 	// listed says whether the topology lists the host as alive.
 	listed bool
 }
@@ -153,6 +170,7 @@
 // address. Seeds are the addresses of hosts to contact while no other host is
 // known.
 func New(self host.Host, seeds []string, m *mirror.Mirror, v views, d demands, dialer dial) *Gossip {
+	now := uptime.Now()
 	return &Gossip{
 		self:          self,
 		seeds:         seeds,
@@ -160,8 +178,10 @@
 		views:         v,
 		demands:       d,
 		pushRequested: make(chan struct{}, 1),
-		started:       uptime.Now(),
+		started:       now,
+		knownSince:    now,
 		hosts:         map[string]*peer{},
+		marks:         map[uint64]*peer{},
 		client: &http.Client{
 			Transport: &http.Transport{
 				DialContext:         dialer.withTimeout(dialTimeout),
@@ -182,6 +202,9 @@
 	parts.Go(func() {
 		guard.Keep(ctx, "gossip-push", g.pushLoop)
 	})
+	parts.Go(func() {
+		guard.Keep(ctx, "gossip-positions", g.positionLoop)
+	})
 	parts.Wait()
 }
 
@@ -275,11 +298,16 @@
 func (g *Gossip) exchange(ctx context.Context, h host.Host, hosts bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	sent := g.knowledge(h.Name, g.views.Questions(!g.isLarge()), nil, hosts && g.pushesAll(), g.packsFor(h.Name))
+	var marks []uint64
+	if hosts {
+		marks = g.askForBeats(sent)
+	}
 	asked := uptime.Now()
 	c := wasabislipv1connect.NewGossipServiceClient(g.client, "http://"+h.Address)
 	r, err := c.Spread(ctx, connect.NewRequest(&wasabislipv1.SpreadRequest{
 		From:         g.self.Name,
-		Knowledge:    g.withUsage(g.knowledge(h.Name, nil, hosts && g.pushesAll(), g.packsFor(h.Name)), nil),
+		Knowledge:    g.withUsage(sent, nil),
 		WithoutHosts: !hosts,
 	}))
 	if err != nil {
@@ -289,6 +317,11 @@
 	k := r.Msg.GetKnowledge()
 	g.mergeHosts(k.GetHosts(), asked)
 	g.mergePacked(k, asked)
+	if t := findBeats(k.GetTables()); t != nil && marks != nil {
+		g.mergeBeats(t, marks, markOf(sent.GetHosts()[0]), asked)
+	} else if hosts {
+		g.noteList()
+	}
 	g.notePacks(h.Name, k.GetAcceptsPacked())
 	g.mergeTables(k.GetTables(), asked)
 	g.mergeUnrestored(k.GetTables())
@@ -318,8 +351,14 @@
 		g.pullFrom(r.Msg.GetFrom())
 	}
 	g.waitFirstCopies(ctx, k.GetTables())
+	hosts := !r.Msg.GetWithoutHosts()
+	beats := findBeats(k.GetTables())
+	answer := g.knowledge(r.Msg.GetFrom(), g.views.Reports(k.GetServices()), k.GetTables(), hosts && beats == nil, k.GetAcceptsPacked())
+	if hosts && beats != nil && !g.addBeats(answer, beats) {
+		g.setHosts(answer, true, k.GetAcceptsPacked())
+	}
 	return connect.NewResponse(&wasabislipv1.SpreadResponse{
-		Knowledge: g.withUsage(g.knowledge(r.Msg.GetFrom(), k.GetTables(), !r.Msg.GetWithoutHosts(), k.GetAcceptsPacked()), k.GetTables()),
+		Knowledge: g.withUsage(answer, k.GetTables()),
 	}), nil
 }
 
--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -40,6 +40,9 @@
 	// leaves time after ExpiredFor for two reads of the table, so that a primary
 	// hands over before it is dropped.
 	missingGrace = 4 * time.Second
+	// maxServerSums bounds the hashes of instances' entries that are kept: several times
+	// the instances of the design size, since each new instance has a new key.
+	maxServerSums = 10_000
 )
 
 // source is the platform's store. Watch returns the rows that changed after a
@@ -85,6 +88,13 @@
 	// passedOn are rows of earlier eras that other hosts passed on, by table and
 	// key; see MergeUnrestored.
 	passedOn map[rowID]tuple.Tuple
+	// serverSums are the newest hashes of instances' entries, by key.
+	serverSums map[string]serverSum
+	// serverEntries, leaderRows and registrationRows are the rows as decoded for the
+	// current snapshot.
+	serverEntries    decodedRows[server.Server]
+	leaderRows       decodedRows[leader.Leader]
+	registrationRows decodedRows[host.Host]
 }
 
 // rowID names a row.
@@ -130,9 +140,16 @@
 	policyLost bool
 	evacuated  map[string]bool
 	servers    map[string]server.Server
+	// byService are the servers of each service, by id, and services the names of the
+	// services in the policy: several parts of a host ask for them for each service
+	// ten times a second.
+	byService map[string][]server.Server
+	services  []string
 	// missing holds, for each instance in servers without an entry, the as-of
 	// time of the first copy that lacks the entry.
-	missing        map[string]time.Duration
+	missing map[string]time.Duration
+	// rewriting says that entries may be older than the servers; see keepLeaving.
+	rewriting      bool
 	leaders        map[string]leader.Leader
 	leaderVersions map[string]uint64
 	// eraRowVersion is the version of the row that opens the era of the fleet
@@ -159,10 +176,11 @@
 			Servers:   servers,
 			Fleet:     Fleet,
 		},
-		tables:   map[string]*table{},
-		started:  uptime.Now(),
-		changed:  make(chan struct{}),
-		passedOn: map[rowID]tuple.Tuple{},
+		tables:     map[string]*table{},
+		started:    uptime.Now(),
+		changed:    make(chan struct{}),
+		passedOn:   map[rowID]tuple.Tuple{},
+		serverSums: map[string]serverSum{},
 	}
 	for name := range m.names {
 		m.tables[name] = &table{
@@ -198,15 +216,9 @@
 }
 
 // Servers returns the instances of a service that may be used, those that are
-// draining included.
+// draining included. The list must not be changed.
 func (m *Mirror) Servers(service string) []server.Server {
-	var list []server.Server
-	for _, s := range m.current.Load().servers {
-		if s.Service == service {
-			list = append(list, s)
-		}
-	}
-	return list
+	return m.current.Load().byService[service]
 }
 
 // Server returns an instance by its id.
@@ -233,17 +245,10 @@
 	return m.AsOf(Servers) - since
 }
 
-// Services returns the names of the services in the configuration.
+// Services returns the names of the services in the configuration. The list must not be
+// changed.
 func (m *Mirror) Services() []string {
-	p := m.Policy()
-	if p == nil {
-		return nil
-	}
-	var names []string
-	for name := range p.ConnectionLimit {
-		names = append(names, name)
-	}
-	return names
+	return m.current.Load().services
 }
 
 // SyncReplicas returns how many replicas of a service must have a commit before
@@ -383,14 +388,33 @@
 }
 
 // hashServer returns a hash of an instance's entry that changes with what the entry
-// says. Instances write their entries about once a second, mostly to say the same.
+// says. Instances write their entries about once a second, mostly to say the same. The
+// caller holds the table's lock.
 func (m *Mirror) hashServer(r tuple.Tuple) uint64 {
 	s, err := m.decoder.Server(r.Key, r.Value)
 	if err != nil {
 		return hashVersion(r)
 	}
 	s.ColdFor = min(s.ColdFor, 1) // whether it is cold at all
-	return xxhash.Sum64String(fmt.Sprintf("%+v", s))
+	if known, ok := m.serverSums[r.Key]; ok && known.server == s {
+		return known.sum
+	}
+	// Hosts compare these sums with those of earlier builds, which hash the same text.
+	sum := xxhash.Sum64String(fmt.Sprintf("%+v", s))
+	if len(m.serverSums) >= maxServerSums {
+		clear(m.serverSums)
+	}
+	m.serverSums[r.Key] = serverSum{
+		server: s,
+		sum:    sum,
+	}
+	return sum
+}
+
+// serverSum is the hash of an instance's entry.
+type serverSum struct {
+	server server.Server
+	sum    uint64
 }
 
 // replace reports whether the rows changed.
