--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -344,14 +344,13 @@
 }
 
 // Demands returns, for each workspace of the policy in the order of names, the demand
-// of this host's callers, encoded as one byte, and the policy's version. If the local
-// bucket decides any operations, the demands on the local buckets follow, one byte for
-// each workspace; a host of an earlier build ignores them.
+// of this host's callers, encoded as one byte, and the policy's version. The demands on
+// the local buckets follow, one byte for each workspace; a host of an earlier build
+// ignores them. They are zero unless the home of a workspace does not answer.
 func (r *Rates) Demands() (demands []byte, version uint64) {
 	names, version := r.workspaceOrder()
 	now := time.Now()
 	demands = make([]byte, 2*len(names))
-	local := false
 	for i, name := range names {
 		s := r.shard(name)
 		s.mu.Lock()
@@ -360,11 +359,10 @@
 			w.localDemand.average(now)
 			demands[i] = bucket.EncodeDemand(w.callerDemand.current)
 			demands[len(names)+i] = bucket.EncodeDemand(w.localDemand.current)
-			local = local || demands[len(names)+i] > 0
 		}
 		s.mu.Unlock()
 	}
-	if r.Homes == nil || !local {
+	if r.Homes == nil {
 		demands = demands[:len(names)]
 	}
 	return demands, version
