--- a/internal/models/policy/policy.go
+++ b/internal/models/policy/policy.go
@@ -30,10 +30,22 @@
 	// WarmupRate is how many statements a second an instance may get while it
 	// warms up, by service. Services without a limit are absent.
 	WarmupRate map[string]float64
+	// Levels is how many priorities the rules declare; see SetLevels.
+	Levels int
 	// IdleTransaction is how long a transaction may be idle; 0 is no limit.
 	IdleTransaction time.Duration
 }
 
+// admissionLevels is how many priorities a configuration declares at least for
+// statements to be admitted by priority and deadline.
+const admissionLevels = 3
+
+// HasAdmission reports whether statements are admitted to instances by priority and
+// deadline.
+func (p *Policy) HasAdmission() bool {
+	return p.Levels >= admissionLevels
+}
+
 // SetLevels sets the level of each database's rules: the rank of its priority
 // among all priorities, from 0.
 func (p *Policy) SetLevels() {
@@ -43,6 +55,7 @@
 	}
 	slices.Sort(priorities)
 	priorities = slices.Compact(priorities)
+	p.Levels = len(priorities)
 	for name, l := range p.Rules {
 		l.Level = slices.Index(priorities, l.Priority)
 		p.Rules[name] = l
