Admit statements at a holder by priority and deadline

Where the configuration declares three priorities or more, a pool asks its scheduler for each statement. A rejection is a fault of the kind overloaded with the time of the turn. Other deployments use the former path.

--- a/internal/models/task/task.go
+++ b/internal/models/task/task.go
@@ -50,6 +50,11 @@
 	Priority int
 	// Wait bounds the time of waiting for a connection.
 	Wait time.Duration
+	// Level is the rank of the statement's priority, and Objective what is left of
+	// the target latency of its operation; both are 0 unless statements are
+	// admitted by priority and deadline.
+	Level     int
+	Objective time.Duration
 	// PermitRequest is the request of an Admit.
 	PermitRequest permit.Request
 	// Deadline is when the statement must have ended.
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/time/rate"
 
+	"wasabislip.example/wasabislip/internal/models/sched"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/window"
 	"wasabislip.example/wasabislip/internal/services/link"
@@ -90,6 +91,7 @@
 	warmupLimit *rate.Limiter
 	// hosts is how many hosts send to the instance.
 	hosts int
+	admission
 }
 
 // waiter is a statement that waits for a connection.
@@ -108,6 +110,10 @@
 		evenShare:  1,
 		idleTarget: 1,
 		inUse:      map[string]int{},
+		admission: admission{
+			places: map[*sched.Waiter]*place{},
+			turns:  map[*pconn.Conn]*turn{},
+		},
 	}
 }
 
@@ -119,6 +125,9 @@
 	p.hosts = max(hosts, 1)
 	p.evenShare = max(1, (limit-reservedConns)/p.hosts)
 	p.idleTarget = max(1, int(idleFraction*float64(limit))/p.hosts)
+	if p.sched != nil {
+		p.sched.Resize(p.server.Slots, p.hosts)
+	}
 }
 
 // Get returns a connection of the workspace, preferably one on which the
@@ -247,6 +256,7 @@
 	defer p.mu.Unlock()
 	c.IdleInTransaction = true
 	p.running--
+	p.endTurn(c)
 	p.grantWaiting()
 }
 
@@ -257,12 +267,14 @@
 	defer p.mu.Unlock()
 	c.IdleInTransaction = false
 	p.running++
+	p.resumeTurn(c)
 }
 
-// RecordSuccess records that the instance ran a statement.
-func (p *Pool) RecordSuccess() {
+// RecordSuccess records that the instance ran a statement on c.
+func (p *Pool) RecordSuccess(c *pconn.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.learn(c)
 	p.window.RecordSuccess(p.maxRunning())
 }
 
@@ -351,6 +363,8 @@
 	defer p.mu.Unlock()
 	p.countEnd(c.Workspace, !c.IdleInTransaction)
 	c.IdleInTransaction = false
+	p.endTurn(c)
+	delete(p.turns, c)
 	if p.closed {
 		p.open--
 		_ = c.Link.Close()
@@ -368,6 +382,8 @@
 	defer p.mu.Unlock()
 	p.countEnd(c.Workspace, !c.IdleInTransaction)
 	c.IdleInTransaction = false
+	p.endTurn(c)
+	delete(p.turns, c)
 	p.open--
 	p.grantWaiting()
 }
@@ -394,22 +410,30 @@
 // grantWaiting grants free connections to those who wait: by priority, and
 // within one priority to the workspace that uses the fewest. The caller holds mu.
 func (p *Pool) grantWaiting() {
-	for len(p.waiting) > 0 && p.hasRoom() {
-		if p.open >= p.limit() && len(p.idle) == 0 {
-			return
-		}
+	for len(p.waiting) > 0 && p.hasRoom() && p.canConnect() {
 		w := p.popWaiter()
-		p.countStart(w.workspace)
-		if c := p.takeIdle(w.workspace, nil); c != nil {
-			w.grant <- c
-			continue
-		}
-		if p.open >= p.limit() && len(p.idle) > 0 {
-			p.closeOldestIdle()
-		}
-		p.open++
-		w.grant <- nil
+		w.grant <- p.take(w.workspace, nil)
+	}
+	p.grantAdmitted()
+}
+
+// canConnect reports whether a statement can get a connection.
+func (p *Pool) canConnect() bool {
+	return p.open < p.limit() || len(p.idle) > 0
+}
+
+// take returns an idle connection for a statement of the workspace, or nil for the
+// right to open one, and counts the statement. Call it only after canConnect.
+func (p *Pool) take(workspace string, settings map[string]string) *pconn.Conn {
+	p.countStart(workspace)
+	if c := p.takeIdle(workspace, settings); c != nil {
+		return c
+	}
+	if p.open >= p.limit() && len(p.idle) > 0 {
+		p.closeOldestIdle()
 	}
+	p.open++
+	return nil
 }
 
 // popWaiter removes and returns the waiter that goes first; see grantWaiting.
@@ -459,6 +483,7 @@
 		w.grant <- nil
 	}
 	p.waiting = nil
+	p.grantAll()
 }
 
 // Counts returns how many connections are open, how many were opened in all
--- a/internal/services/pools/pools.go
+++ b/internal/services/pools/pools.go
@@ -9,6 +9,7 @@
 
 	"wasabislip.example/wasabislip/internal/models/holder"
 	"wasabislip.example/wasabislip/internal/models/policy"
+	"wasabislip.example/wasabislip/internal/models/sched"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/services/conns"
 	"wasabislip.example/wasabislip/internal/services/link"
@@ -43,9 +44,10 @@
 
 	mu    sync.Mutex
 	pools map[string]*entry
-	// opened and refused are the counts of the pools that were closed.
+	// opened, refused and levels are the counts of the pools that were closed.
 	opened  int64
 	refused int64
+	levels  [sched.Levels]sched.Counts
 }
 
 // entry is a pool with the instance that it was made for.
@@ -90,6 +92,10 @@
 	_, opened, refused := e.pool.Counts()
 	p.opened += opened
 	p.refused += refused
+	for n := range p.levels {
+		c, _ := e.pool.LevelCounts(n)
+		p.levels[n].Add(c)
+	}
 	e.pool.Close()
 }
 
@@ -107,6 +113,7 @@
 		sharing = holder.Count(limit, sharing)
 	}
 	e.pool.Resize(limit, sharing)
+	e.pool.SetAdmission(limits.HasAdmission())
 	warmupRate := 0.0
 	if s, ok := p.config.Server(e.server.ID); ok && s.ColdFor > 0 {
 		warmupRate = limits.WarmupRate[s.Service] / float64(sharing)
@@ -159,3 +166,17 @@
 	}
 	return open, opened, refused
 }
+
+// LevelCounts returns the counts of the statements of a level that were admitted by
+// priority and deadline, and how many wait now.
+func (p *Pools) LevelCounts(level int) (c sched.Counts, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c = p.levels[level]
+	for _, e := range p.pools {
+		counts, n := e.pool.LevelCounts(level)
+		c.Add(counts)
+		waiting += n
+	}
+	return c, waiting
+}
--- a/internal/services/runner/runner.go
+++ b/internal/services/runner/runner.go
@@ -85,7 +85,15 @@
 		)
 	}
 	r.pool = r.pools.Pool(s)
-	c, err := r.pool.Get(ctx, t.Workspace, t.SessionValues, t.Priority, t.Wait)
+	c, err := r.pool.Admit(ctx, &conns.Request{
+		Workspace: t.Workspace,
+		Settings:  t.SessionValues,
+		Priority:  t.Priority,
+		Wait:      t.Wait,
+		Level:     t.Level,
+		Objective: t.Objective,
+		Deadline:  t.Deadline,
+	})
 	if err != nil {
 		return err
 	}
@@ -121,7 +129,7 @@
 	case reply.Busy:
 		r.pool.RecordRefusal()
 	case reply.Done:
-		r.pool.RecordSuccess()
+		r.pool.RecordSuccess(r.conn)
 	}
 	if a.State == reply.Idle || !keeps {
 		r.returnConn(a.State == reply.Idle)
--- a/internal/services/runner/runner_test.go
+++ b/internal/services/runner/runner_test.go
@@ -15,12 +15,15 @@
 	"wasabislip.example/wasabislip/internal/services/link"
 	"wasabislip.example/wasabislip/internal/services/runner"
 	"wasabislip.example/wasabislip/internal/standin/simcon"
+	"wasabislip.example/wasabislip/pkg/model/fault"
 )
 
 // instance is one instance and the connections to it.
 type instance struct {
 	pool  *conns.Pool
 	links []*simcon.Conn
+	// losesAnswers makes each connection fail before an answer.
+	losesAnswers bool
 }
 
 func (i *instance) Server(id string) (server.Server, bool) {
@@ -35,6 +38,9 @@
 	c := &simcon.Conn{
 		State: reply.Open,
 	}
+	if i.losesAnswers {
+		c.CloseFromPeer()
+	}
 	i.links = append(i.links, c)
 	return c, nil
 }
@@ -62,4 +68,27 @@
 			is.Equal(c.SentKinds[len(c.SentKinds)-1], query.Rollback)
 		}
 	})
+	// A statement whose answer is lost may have run: it must not be told to be
+	// rejected, and its place at the instance is free again.
+	t.Run("a lost answer is an unknown outcome where statements are admitted by priority", func(t *testing.T) {
+		is := is.New(t)
+		i := &instance{
+			losesAnswers: true,
+		}
+		i.pool = conns.New(server.Server{
+			ID:    "i-1",
+			Slots: 3,
+		}, i)
+		i.pool.Resize(10, 1)
+		i.pool.SetAdmission(true)
+		r := runner.New(i, i)
+		for range 20 { // more than the places of the pool
+			_, err := r.Do(t.Context(), &task.Task{
+				Instance: "i-1",
+				Level:    2,
+				Deadline: time.Now().Add(time.Second),
+			})
+			is.True(fault.IsKind(err, fault.OutcomeUnknown))
+		}
+	})
 }
