--- a/internal/modules/stats/stats.go
+++ b/internal/modules/stats/stats.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -106,6 +107,37 @@
 	}, value))
 }
 
+// levelOptions returns the options of a metric of one level. The last level stands for
+// all further ones, so that the label's values are bounded.
+func levelOptions(name, help string, level int) prometheus.Opts {
+	return prometheus.Opts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+		ConstLabels: prometheus.Labels{
+			"level": strconv.Itoa(level),
+		},
+	}
+}
+
+// AddLevelGauge adds a gauge for each level, read whenever the metrics are scraped.
+func (s *Stats) AddLevelGauge(name, help string, levels int, value func(level int) float64) {
+	for level := range levels {
+		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts(levelOptions(name, help, level)), func() float64 {
+			return value(level)
+		}))
+	}
+}
+
+// AddLevelCounter adds a counter for each level, read whenever the metrics are scraped.
+func (s *Stats) AddLevelCounter(name, help string, levels int, value func(level int) float64) {
+	for level := range levels {
+		s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts(levelOptions(name, help, level)), func() float64 {
+			return value(level)
+		}))
+	}
+}
+
 // Handler returns the handler that serves the metrics.
 func (s *Stats) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -20,6 +20,7 @@
 	"wasabislip.example/wasabislip/internal/models/permit"
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/models/sched"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/task"
 	"wasabislip.example/wasabislip/internal/models/tuning"
@@ -287,6 +288,7 @@
 		_, opened, _ := h.pools.Counts()
 		return float64(opened)
 	})
+	h.registerAdmissionMetrics()
 	h.stats.AddGauge("configuration_version", "The configuration in force.", func() float64 {
 		if p := h.mirror.Policy(); p != nil {
 			return float64(p.Version)
@@ -310,6 +312,27 @@
 	})
 }
 
+// registerAdmissionMetrics adds the metrics of statements that are admitted by priority
+// and deadline.
+func (h *Host) registerAdmissionMetrics() {
+	h.stats.AddLevelGauge("admission_waiting", "Statements that wait for a turn at an instance.", sched.Levels, func(level int) float64 {
+		_, waiting := h.pools.LevelCounts(level)
+		return float64(waiting)
+	})
+	h.stats.AddLevelCounter("admission_started_total", "Statements admitted to an instance.", sched.Levels, func(level int) float64 {
+		c, _ := h.pools.LevelCounts(level)
+		return float64(c.Started)
+	})
+	h.stats.AddLevelCounter("admission_rejected_total", "Statements rejected with the time of a turn.", sched.Levels, func(level int) float64 {
+		c, _ := h.pools.LevelCounts(level)
+		return float64(c.Rejected)
+	})
+	h.stats.AddLevelCounter("admission_wait_seconds_total", "Time for which statements waited for a turn.", sched.Levels, func(level int) float64 {
+		c, _ := h.pools.LevelCounts(level)
+		return c.Waited.Seconds()
+	})
+}
+
 // Run serves callers until ctx ends, and then stops; see stop.
 func (h *Host) Run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
