Carry level, objective and turns between hosts to the caller

A task carries the rank of its priority and what is left of the target latency of its operation, counted from its arrival at the caller's host. The fault of a holder that rejects it carries the time of the turn, which the caller is told instead of the constant 50 ms. A level below 0 is rejected.

--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -183,10 +184,16 @@
 		if err := options.UnmarshalFrom(c.r, &m); err != nil {
 			return err
 		}
-		t := decodeTask(&m)
+		t, invalid := decodeTask(&m)
 		if t.Kind != task.Rollback && !c.isAwaited() {
 			return errAbandoned
 		}
+		if invalid != nil {
+			if err := c.writeReply(&reply.Reply{}, invalid); err != nil {
+				return err
+			}
+			continue
+		}
 		c.setBusy(true)
 		r, err := c.runTask(ctx, t)
 		if t.Kind == task.Rollback {
@@ -247,6 +254,7 @@
 		if f := fault.As(failure); f != nil {
 			m.Fault = f.Kind
 			m.Reason = f.Reason
+			m.RetryAfterMs = milliseconds(f.RetryAfter)
 		}
 	}
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -263,11 +271,27 @@
 	return uint32((d + time.Millisecond - 1) / time.Millisecond)
 }
 
-// decodeTask returns the task of a message, with its timeout as a deadline.
-func decodeTask(m *wasabislipv1.Errand) *task.Task {
+// decodeTask returns the task of a message, with its timeout as a deadline. An error
+// says which field is invalid; the task must not run then.
+func decodeTask(m *wasabislipv1.Errand) (*task.Task, error) {
 	s := m.GetStatement()
 	timeout := min(time.Duration(m.GetTimeoutMs())*time.Millisecond, maxTimeout)
-	return &task.Task{
+	objective := min(time.Duration(m.GetObjectiveMs())*time.Millisecond, maxTimeout)
+	level := int(m.GetLevel())
+	var err error
+	switch {
+	case level < 0:
+		err = fault.New(
+			fault.BadRequest,
+			fmt.Sprintf("level %d of a task is below 0", level),
+			"send the rank of the statement's priority, from 0",
+		)
+	case objective == 0:
+		// The level is not known: the sender is of an earlier build. Only
+		// statements that are known to be most urgent may queue in the instance.
+		level = max(level, 1)
+	}
+	t := &task.Task{
 		Kind:          int(m.GetKind()),
 		Instance:      m.GetInstance(),
 		Workspace:     m.GetWorkspace(),
@@ -292,6 +316,9 @@
 			Wait:  time.Duration(m.GetClaimWaitMs()) * time.Millisecond,
 			Level: int(m.GetClaimLevel()),
 		},
-		Deadline: time.Now().Add(timeout),
+		Level:     level,
+		Objective: objective,
+		Deadline:  time.Now().Add(timeout),
 	}
+	return t, err
 }
--- a/internal/services/forwd/remote.go
+++ b/internal/services/forwd/remote.go
@@ -94,7 +94,8 @@
 		return reply.Reply{}, err
 	}
 	if a.GetFault() != "" {
-		return reply.Reply{}, fault.New(a.GetFault(), a.GetReason(), "retry later")
+		after := time.Duration(a.GetRetryAfterMs()) * time.Millisecond
+		return reply.Reply{}, fault.New(a.GetFault(), a.GetReason(), "retry later").WithRetryAfter(after)
 	}
 	return reply.Reply{
 		Rows:       a.GetRows(),
@@ -135,6 +136,8 @@
 		TimeoutMs:   milliseconds(time.Until(t.Deadline)),
 		ClaimWaitMs: milliseconds(t.PermitRequest.Wait),
 		ClaimLevel:  int32(t.PermitRequest.Level),
+		Level:       int32(t.Level),
+		ObjectiveMs: milliseconds(t.Objective),
 	})
 	if err != nil {
 		return err
--- a/internal/services/sess/attempt.go
+++ b/internal/services/sess/attempt.go
@@ -61,6 +61,7 @@
 	t.Workspace = a.grant.workspace
 	t.Priority = a.grant.priority()
 	t.Wait = a.maxWait
+	t.Level, t.Objective = a.grant.objective()
 	t.Deadline = a.deadline
 	sentAt := uptime.Now()
 	a.view.RecordStart(a.server.ID)
--- a/internal/services/sess/autocommit.go
+++ b/internal/services/sess/autocommit.go
@@ -25,17 +25,46 @@
 	// busyRetryAfter is when callers are told to retry on a busy instance: it
 	// has run a few statements by then.
 	busyRetryAfter = 50 * time.Millisecond
+	// minObjective is the least objective that is sent, since 0 stands for not
+	// known.
+	minObjective = time.Millisecond
 	// noPrimaryRetryAfter is when callers are told to retry while there is no
 	// primary.
 	noPrimaryRetryAfter = 300 * time.Millisecond
 )
 
 // maxQueueWait is how long a statement may wait for a connection: a fraction of
-// the database's target latency.
+// the database's target latency. Where holders admit by priority and deadline, it
+// is what is left of half of the target: a rejected caller is told its turn, and the
+// other half is for the statement itself.
 func (g grant) maxQueueWait() time.Duration {
+	if g.admission && g.rules.TargetLatency > 0 {
+		return max(g.rules.TargetLatency/2-(uptime.Now()-g.arrived), minObjective)
+	}
 	return time.Duration(float64(g.rules.TargetLatency) * g.tuning.QueueFraction)
 }
 
+// objective returns the rank of the statement's priority and what is left of its
+// operation's target latency; zeros if holders do not admit by them.
+func (g grant) objective() (level int, left time.Duration) {
+	if !g.admission {
+		return 0, 0
+	}
+	if g.rules.TargetLatency == 0 {
+		return g.rules.Level, 0
+	}
+	return g.rules.Level, max(g.rules.TargetLatency-(uptime.Now()-g.arrived), minObjective)
+}
+
+// retryAfter returns when the caller of a statement that was not run is told to
+// retry: at the turn that the holder gives.
+func retryAfter(err error) time.Duration {
+	if f := fault.As(err); f != nil && f.RetryAfter > 0 {
+		return f.RetryAfter
+	}
+	return busyRetryAfter
+}
+
 // maxRateWait is how long a statement may wait for tokens of its workspace's
 // rate: a fraction of the database's target latency.
 func (g grant) maxRateWait() time.Duration {
@@ -90,7 +119,7 @@
 // in doubt if the write may have run.
 func (s *Session) writeFailure(err error) reply.Reply {
 	if !fault.IsKind(err, fault.OutcomeUnknown) {
-		return *s.refusal(reply.Busy, "not-sent", err.Error(), busyRetryAfter)
+		return *s.refusal(reply.Busy, "not-sent", err.Error(), retryAfter(err))
 	}
 	return *s.refusal(reply.InDoubt, "no-answer", err.Error(), 0)
 }
@@ -164,6 +193,10 @@
 	running          int
 	results          chan readResult
 	lastReply        reply.Reply
+	// rejection is the last rejection of an instance at which the read would have
+	// waited, or else the last one.
+	rejection *fault.Fault
+	queued    bool
 }
 
 // readResult is the answer of one instance to a read.
@@ -172,8 +205,10 @@
 	// replica is set if the instance was asked as a replica, with a minimum
 	// position. The primary may have changed since.
 	replica bool
-	reply   reply.Reply
-	err     error
+	// queued is set if the read could wait at the instance.
+	queued bool
+	reply  reply.Reply
+	err    error
 }
 
 func (x *readRequest) run(ctx context.Context) reply.Reply {
@@ -209,15 +244,34 @@
 // instance, or else the reason why no other instance could be asked.
 func (x *readRequest) finalReply(refusal *reply.Reply) reply.Reply {
 	if x.lastReply.Outcome != reply.Done {
+		if x.rejection != nil && x.lastReply.RetryAfter == 0 {
+			x.lastReply.RetryAfter = x.rejection.RetryAfter
+		}
 		return x.session.instanceRefusal(x.lastReply)
 	}
+	if x.rejection != nil {
+		refusal.RetryAfter = x.rejection.RetryAfter
+		refusal.Message += ": " + x.rejection.Reason
+	}
 	return *refusal
 }
 
+// recordRejection keeps the time of a turn at an instance. Only instances at which the
+// read could wait have promised one; the others name a time to try again.
+func (x *readRequest) recordRejection(a readResult) {
+	f := fault.As(a.err)
+	if f == nil || f.RetryAfter == 0 || x.queued && !a.queued {
+		return
+	}
+	x.rejection = f
+	x.queued = a.queued
+}
+
 // accept records an instance's answer and reports whether it ends the read.
 func (x *readRequest) accept(a readResult) (reply.Reply, bool) {
 	if a.err != nil {
 		x.noFreeConnection = x.noFreeConnection || fault.IsKind(a.err, fault.Overloaded)
+		x.recordRejection(a)
 		return reply.Reply{}, false
 	}
 	if a.reply.Outcome != reply.Done {
@@ -288,6 +342,7 @@
 		x.results <- readResult{
 			server:  to,
 			replica: replica,
+			queued:  wait > 0,
 			reply:   r,
 			err:     err,
 		}
--- a/internal/services/sess/sess.go
+++ b/internal/services/sess/sess.go
@@ -15,6 +15,7 @@
 	"wasabislip.example/wasabislip/internal/models/rules"
 	"wasabislip.example/wasabislip/internal/models/tuning"
 	"wasabislip.example/wasabislip/internal/modules/reqlog"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/internal/services/dbview"
 	"wasabislip.example/wasabislip/internal/services/forwd"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
@@ -75,6 +76,8 @@
 	// reads must see.
 	lastWrite logpos.Position
 	tx        *transaction
+	// arrived is when the statement that runs now arrived.
+	arrived time.Duration
 	// lastDecision is where the last statement was sent and why, for the log.
 	lastDecision decision
 	// reconnect is set if another host can serve the caller better.
@@ -100,6 +103,10 @@
 	rules     rules.Rules
 	workspace string
 	tuning    tuning.Tuning
+	// arrived is when the operation arrived.
+	arrived time.Duration
+	// admission is set if holders admit statements by priority and deadline.
+	admission bool
 }
 
 // Authorize checks the caller's database and key when the session starts.
@@ -130,12 +137,15 @@
 		rules:     dbRules,
 		workspace: workspace,
 		tuning:    s.Tuning,
+		arrived:   s.arrived,
+		admission: p.HasAdmission(),
 	}, nil
 }
 
 // Handle runs one statement and returns its reply.
 func (s *Session) Handle(ctx context.Context, q query.Query) reply.Reply {
 	started := time.Now()
+	s.arrived = uptime.Now()
 	s.lastDecision = decision{}
 	r := s.dispatch(ctx, q)
 	r.State = s.state()
@@ -367,6 +377,9 @@
 	}
 	if p := s.Config.Policy(); p != nil {
 		fields = append(fields, "workspace", p.Owners[s.Key], "version", p.Version)
+		if p.HasAdmission() {
+			fields = append(fields, "level", p.Rules[s.Database].Level, "target", p.Rules[s.Database].TargetLatency.String())
+		}
 	}
 	return append(fields, more...)
 }
