--- a/internal/services/sess/autocommit.go
+++ b/internal/services/sess/autocommit.go
@@ -65,6 +65,15 @@
 	return busyRetryAfter
 }
 
+// describe returns the text of an error for a refusal, which tells when to retry
+// itself.
+func describe(err error) string {
+	if f := fault.As(err); f != nil {
+		return f.WithRetryAfter(0).Error()
+	}
+	return err.Error()
+}
+
 // maxRateWait is how long a statement may wait for tokens of its workspace's
 // rate: a fraction of the database's target latency.
 func (g grant) maxRateWait() time.Duration {
@@ -119,7 +128,7 @@
 // in doubt if the write may have run.
 func (s *Session) writeFailure(err error) reply.Reply {
 	if !fault.IsKind(err, fault.OutcomeUnknown) {
-		return *s.refusal(reply.Busy, "not-sent", err.Error(), retryAfter(err))
+		return *s.refusal(reply.Busy, "not-sent", describe(err), retryAfter(err))
 	}
 	return *s.refusal(reply.InDoubt, "no-answer", err.Error(), 0)
 }
--- a/internal/services/sess/tx.go
+++ b/internal/services/sess/tx.go
@@ -161,7 +161,7 @@
 	a.runner.Close()
 	tx.close()
 	if err != nil {
-		return s.refusal(reply.Busy, "not-started", err.Error(), retryAfter(err))
+		return s.refusal(reply.Busy, "not-started", describe(err), retryAfter(err))
 	}
 	r = s.instanceRefusal(r)
 	return &r
