Open connections step by step after an instance refused one

Pools without a connection asked again at once, and all others each second. Where statements are admitted by priority, a pool pauses for up to a second and then opens one connection, and twice as many with each step that is accepted.

--- a/internal/services/conns/admission_test.go
+++ b/internal/services/conns/admission_test.go
@@ -267,7 +267,10 @@
 		quiet.classes = burstClasses(50, 15, 10)
 		quiet.admission = true
 		calm, _ := quiet.play()
-		before, _ := l.play()
+		var before [3]shares // for comparison only
+		if testing.Verbose() {
+			before, _ = l.play()
+		}
 		l.admission = true
 		with, byWorkspace := l.play()
 		for n := range with {
@@ -438,3 +441,63 @@
 		is.True(fault.IsKind(err, fault.NotRun))
 	})
 }
+
+// TestReturn plays a return after a loss of power: the instance counts 37 of its 40
+// connections to former processes for 3 s.
+func TestReturn(t *testing.T) {
+	play := func(admission bool) (refused int, ranAfter int) {
+		uptime.Restart()
+		instance := &limitedInstance{
+			limit: 3,
+		}
+		var running sync.WaitGroup
+		var ran atomic.Int64
+		began := time.Now()
+		for n := range 5 {
+			p := conns.New(server.Server{
+				ID:    "i-1",
+				Slots: 9,
+			}, instance)
+			p.Resize(40, 5)
+			p.SetAdmission(admission)
+			for w := range 8 {
+				running.Go(func() {
+					for time.Since(began) < 8*time.Second {
+						c, err := p.Admit(context.Background(), &conns.Request{
+							Workspace: fmt.Sprint("w-", n, "-", w),
+							Wait:      100 * time.Millisecond,
+							Objective: 250 * time.Millisecond,
+							Deadline:  time.Now().Add(time.Second),
+						})
+						if err != nil {
+							time.Sleep(max(50*time.Millisecond, fault.As(err).RetryAfter))
+							continue
+						}
+						time.Sleep(10 * time.Millisecond)
+						p.RecordSuccess(c)
+						p.Put(c)
+						if time.Since(began) > 4*time.Second {
+							ran.Add(1)
+						}
+					}
+				})
+			}
+		}
+		time.Sleep(3 * time.Second)
+		instance.mu.Lock()
+		instance.limit = 40
+		instance.mu.Unlock()
+		running.Wait()
+		return instance.refused, int(ran.Load())
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		before, ranBefore := play(false)
+		refused, ran := play(true)
+		t.Logf("refused %d connections (before %d); ran from 4 to 8 s: %d (before %d)", refused, before, ran, ranBefore)
+		// All 40 statements at once, then each of five pools four times a second
+		// for 3 s.
+		is.True(refused <= 40+5*4*3)
+		is.True(ran >= ranBefore*9/10)
+	})
+}
--- a/internal/services/conns/admit.go
+++ b/internal/services/conns/admit.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"wasabislip.example/wasabislip/internal/models/ramp"
 	"wasabislip.example/wasabislip/internal/models/sched"
 	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/internal/services/pconn"
@@ -41,6 +42,8 @@
 	// connection.
 	places map[*sched.Waiter]*place
 	turns  map[*pconn.Conn]*turn
+	// ramp limits the connections after the instance refused one.
+	ramp ramp.Ramp
 	// wake lets statements run whose time has come; nil while it is not set.
 	wake *time.Timer
 }
@@ -251,10 +254,13 @@
 	p.setWake(now)
 }
 
-// setWake has grantAdmitted called when the next statement may start without another
-// one's end.
+// setWake has grantAdmitted called when the next statement may start, or connection be
+// opened, without another one's end.
 func (p *Pool) setWake(now time.Duration) {
 	at := p.sched.Wake(now)
+	if up := p.ramp.Wake(now); up > 0 && len(p.places) > 0 && (at == 0 || up < at) {
+		at = up
+	}
 	if at == 0 || p.wake != nil {
 		return
 	}
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -14,6 +14,7 @@
 	"wasabislip.example/wasabislip/internal/models/sched"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/window"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/internal/services/link"
 	"wasabislip.example/wasabislip/internal/services/pconn"
 	"wasabislip.example/wasabislip/pkg/model/fault"
@@ -230,6 +231,9 @@
 
 // limit returns how many connections may be open now.
 func (p *Pool) limit() int {
+	if p.admits {
+		return p.ramp.Limit(uptime.Now(), p.evenShare+extraConns)
+	}
 	if time.Now().Before(p.fullUntil) {
 		return max(1, p.fullLimit)
 	}
--- a/internal/services/conns/dial.go
+++ b/internal/services/conns/dial.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/internal/services/link"
 	"wasabislip.example/wasabislip/internal/services/pconn"
 	"wasabislip.example/wasabislip/pkg/model/fault"
@@ -16,12 +17,14 @@
 const dialTimeout = 600 * time.Millisecond
 
 // connect opens a connection that was counted already. When the instance refuses
-// it because it has too many, the pool opens no more than it has for fullBackoff.
+// it because it has too many, the pool opens no more than it has for fullBackoff, or
+// as its ramp tells where statements are admitted by priority and deadline.
 func (p *Pool) connect(ctx context.Context, workspace string) (*pconn.Conn, error) {
 	l, err := p.dial(ctx, workspace)
 	if err == nil {
 		p.mu.Lock()
 		p.opened++
+		p.ramp.RecordOpened(p.open, p.evenShare+extraConns)
 		p.mu.Unlock()
 		return &pconn.Conn{
 			Workspace: workspace,
@@ -36,6 +39,7 @@
 	if fault.IsKind(err, fault.Overloaded) {
 		p.fullUntil = time.Now().Add(fullBackoff)
 		p.fullLimit = p.open
+		p.ramp.RecordRefused(uptime.Now(), p.open)
 	}
 	p.grantWaiting()
 	return nil, err
