Keep decisions cheap with some 2,000 waiting statements

Each arrival searched the queue and all promised turns. Work ahead follows from counts by level, turns are sorted, and the queue is searched for late statements once in 5 ms.

--- a/internal/models/sched/capacity.go
+++ b/internal/models/sched/capacity.go
@@ -17,6 +17,9 @@
 	// while it waits once its turn is expected that much too late. Without the
 	// slack, errors of the estimate reject statements that would be in time.
 	evictionSlack = 4
+	// expireInterval is how often the queue is searched for statements that can no
+	// longer be served in time: a search is linear in its length.
+	expireInterval = 5 * time.Millisecond
 	// othersQueue is the part of the most urgent level's target that the queue
 	// inside the instance may take before less urgent statements are held back,
 	// and urgentQueue the same for the most urgent themselves.
--- a/internal/models/sched/sched.go
+++ b/internal/models/sched/sched.go
@@ -2,13 +2,14 @@
 // callers of several priorities compete for an instance. Levels are ranks of
 // priorities; 0 is served first.
 //
-// It answers a load of up to a few hundred waiting statements at one pool, of some
-// ten levels, at an instance that 1 to some 70 pools share without knowing of each
-// other's statements. Each decision is linear in the number of waiting statements.
+// It answers a load of up to some 2,000 waiting statements at one pool, of eight levels,
+// 6,000 a second, at an instance that 1 to some 70 pools share without knowing of each
+// other's statements. The queue is searched as a whole at most once in 5 ms.
 package sched
 
 import (
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -84,6 +85,8 @@
 	levels [Levels]level
 	queue  []*Waiter // the next one first
 	turns  turns
+	// expired is when Expire last looked at the queue.
+	expired time.Duration
 }
 
 // New returns a scheduler for an instance of one slot that no other pool uses.
@@ -119,7 +122,7 @@
 		returning: s.turns.redeem(now, r),
 	}
 	i := s.position(w)
-	if s.expectedWait(s.ahead(now, w, i), r.Level) > divide(w.Latest-now, admissionMargin) {
+	if s.expectedWait(s.ahead(now, w, i), r.Level, s.available(r.Level)) > divide(w.Latest-now, admissionMargin) {
 		return s.reject(now, w, Late, i)
 	}
 	s.queue = slices.Insert(s.queue, i, w)
@@ -154,12 +157,9 @@
 // position returns where in the queue a statement belongs: by level, then those who
 // come back at their turn, then by deadline.
 func (s *Scheduler) position(w *Waiter) int {
-	for i, other := range s.queue {
-		if before(w, other) {
-			return i
-		}
-	}
-	return len(s.queue)
+	return sort.Search(len(s.queue), func(i int) bool {
+		return before(w, s.queue[i])
+	})
 }
 
 func before(a, b *Waiter) bool {
@@ -175,13 +175,17 @@
 // ahead returns the work before a statement that has i others before it.
 func (s *Scheduler) ahead(now time.Duration, w *Waiter, i int) *work {
 	k := &work{}
-	for _, other := range s.queue[:i] {
-		k.add(other.Request.Level, s.levels[other.Request.Level].serviceTime())
+	n := w.Request.Level
+	for j := range n {
+		k.add(j, time.Duration(s.levels[j].waiting)*s.levels[j].serviceTime())
+		i -= s.levels[j].waiting
 	}
-	if !w.returning {
-		for n, due := range s.turns.due(now, w.Latest, w.Request.Level) {
-			k.add(n, time.Duration(due)*s.levels[n].serviceTime())
-		}
+	k.add(n, time.Duration(i)*s.levels[n].serviceTime())
+	if w.returning {
+		return k
+	}
+	for j := range n + 1 {
+		k.add(j, time.Duration(s.turns.due(now, w.Latest, j))*s.levels[j].serviceTime())
 	}
 	return k
 }
@@ -199,8 +203,8 @@
 
 // expectedWait returns how long a statement of a level waits after the work ahead, or
 // as one of the few that are served out of order for the floor.
-func (s *Scheduler) expectedWait(ahead *work, n int) time.Duration {
-	wait := divide(ahead.all, s.available(n))
+func (s *Scheduler) expectedWait(ahead *work, n int, available float64) time.Duration {
+	wait := divide(ahead.all, available)
 	if l := &s.levels[n]; n > 0 {
 		owed := max(0, ahead.levels[n]+l.serviceTime()-l.floor)
 		wait = min(wait, divide(owed, floorFraction*s.others.room))
@@ -227,8 +231,16 @@
 }
 
 // Expire removes the waiting statements that can no longer be served in time and
-// returns them with their decisions.
+// returns them with their decisions. It looks at the queue once in expireInterval.
 func (s *Scheduler) Expire(now time.Duration) map[*Waiter]Decision {
+	if now-s.expired < expireInterval {
+		return nil
+	}
+	s.expired = now
+	var available [Levels]float64
+	for n := range available {
+		available[n] = s.available(n)
+	}
 	var rejected map[*Waiter]Decision
 	var ahead work
 	for i := 0; i < len(s.queue); {
@@ -238,7 +250,7 @@
 		switch {
 		case now >= w.Latest:
 			reason = Expired
-		case now+s.expectedWait(&ahead, n) > w.Latest+(w.Latest-w.Arrived)/evictionSlack:
+		case now+s.expectedWait(&ahead, n, available[n]) > w.Latest+(w.Latest-w.Arrived)/evictionSlack:
 			reason = Late
 		}
 		if reason == "" {
@@ -295,10 +307,8 @@
 	left.Objective = max(0, r.Objective-(now-w.Arrived))
 	left.Timeout = max(0, r.Timeout-(now-w.Arrived))
 	var backlog time.Duration
-	for _, other := range s.queue {
-		if other.Request.Level <= r.Level {
-			backlog += s.levels[other.Request.Level].serviceTime()
-		}
+	for j := range r.Level + 1 {
+		backlog += time.Duration(s.levels[j].waiting) * s.levels[j].serviceTime()
 	}
 	return Decision{
 		Action:     Reject,
--- a/internal/models/sched/sched_test.go
+++ b/internal/models/sched/sched_test.go
@@ -195,3 +195,27 @@
 		is.True(s.Next(0) != nil)
 	})
 }
+
+// BenchmarkOverload is a statement that arrives at a queue of some 2,000, of
+// statements of 1 ms with a target of 1.5 s, and one that ends.
+func BenchmarkOverload(b *testing.B) {
+	s := sched.New()
+	s.Resize(3, 1)
+	s.SetLimit(9)
+	now := time.Duration(0)
+	for i := 0; b.Loop(); i++ {
+		now += time.Millisecond / 6
+		r := request(fmt.Sprint(i%100), 1+i%2)
+		r.Objective = 1500 * time.Millisecond
+		r.Wait = r.Objective / 2
+		s.Arrive(now, r, true)
+		if i%2 == 0 {
+			s.Learn(now, 1, time.Millisecond, true)
+			s.End(now, 1)
+			s.Expire(now)
+			s.Next(now)
+		}
+	}
+	_, waiting := s.Counts(2)
+	b.ReportMetric(float64(waiting), "waiting")
+}
--- a/internal/models/sched/turns.go
+++ b/internal/models/sched/turns.go
@@ -39,8 +39,11 @@
 // number is bounded by what the pool serves within the timeouts of its statements.
 type turns struct {
 	promised map[turnKey][]time.Duration
-	// last is each level's latest turn.
-	last [Levels]time.Duration
+	// order holds the turns of each level, the earliest first.
+	order [Levels][]time.Duration
+	// last is each level's latest turn, pruned when turns were last forgotten.
+	last   [Levels]time.Duration
+	pruned time.Duration
 	// spread counts the times given out without a turn.
 	spread float64
 }
@@ -60,6 +63,7 @@
 		level:     r.Level,
 	}
 	t.promised[key] = append(t.promised[key], turn)
+	t.order[r.Level] = append(t.order[r.Level], turn)
 	return turn - now
 }
 
@@ -83,29 +87,31 @@
 	if i < 0 {
 		return false
 	}
+	if j, ok := slices.BinarySearch(t.order[r.Level], list[i]); ok {
+		t.order[r.Level] = slices.Delete(t.order[r.Level], j, j+1)
+	}
 	t.promised[key] = slices.Delete(list, i, i+1)
 	return true
 }
 
-// due returns how many callers of the levels up to l will come back at their turns
-// before a moment.
-func (t *turns) due(now, before time.Duration, l int) [Levels]int {
-	var n [Levels]int
-	for key, list := range t.promised {
-		if key.level > l {
-			continue
-		}
-		for _, turn := range list {
-			if turn+turnLate >= now && turn < before {
-				n[key.level]++
-			}
-		}
-	}
-	return n
+// due returns how many callers of a level will come back at their turns before a
+// moment.
+func (t *turns) due(now, before time.Duration, level int) int {
+	from, _ := slices.BinarySearch(t.order[level], now-turnLate)
+	to, _ := slices.BinarySearch(t.order[level], before)
+	return max(0, to-from)
 }
 
 // prune forgets the turns that have passed.
 func (t *turns) prune(now time.Duration) {
+	if now-t.pruned < turnLate {
+		return
+	}
+	t.pruned = now
+	for level, list := range t.order {
+		passed, _ := slices.BinarySearch(list, now-turnLate)
+		t.order[level] = slices.Delete(list, 0, passed)
+	}
 	for key, list := range t.promised {
 		list = slices.DeleteFunc(list, func(turn time.Duration) bool {
 			return turn+turnLate < now
