--- a/internal/services/conns/dial.go
+++ b/internal/services/conns/dial.go
@@ -20,6 +20,7 @@
 // it because it has too many, the pool opens no more than it has for fullBackoff, or
 // as its ramp tells where statements are admitted by priority and deadline.
 func (p *Pool) connect(ctx context.Context, workspace string) (*pconn.Conn, error) {
+	began := uptime.Now()
 	l, err := p.dial(ctx, workspace)
 	if err == nil {
 		p.mu.Lock()
@@ -39,7 +40,7 @@
 	if fault.IsKind(err, fault.Overloaded) {
 		p.fullUntil = time.Now().Add(fullBackoff)
 		p.fullLimit = p.open
-		p.ramp.RecordRefused(uptime.Now(), p.open)
+		p.ramp.RecordRefused(uptime.Now(), began, p.open)
 	}
 	p.grantWaiting()
 	return nil, err
