Report the load of an instance with each answer of its holder

The host that holds a workspace's connections to an instance adds the statements that run and wait in its pool, the moving average of their service time and the completions a second to its answers, refusals included. Pools measure it only where asked to.

--- a/internal/models/reply/reply.go
+++ b/internal/models/reply/reply.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"wasabislip.example/wasabislip/internal/models/load"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
@@ -68,6 +69,9 @@
 	State int
 	// Position is the end of the instance's log; zero if the answer did not say.
 	Position logpos.Position
+	// Load is the load of the instance as the host reported it that holds the
+	// connections to it; nil without a report.
+	Load *load.Report
 }
 
 var outcomeNames = map[int]string{
--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	wasabislipv1 "wasabislip.example/wasabislip/internal/gen/wasabislip/v1"
+	"wasabislip.example/wasabislip/internal/models/load"
 	"wasabislip.example/wasabislip/internal/models/permit"
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
@@ -240,6 +241,7 @@
 		State:        int32(r.State),
 		Term:         r.Position.Term,
 		Offset:       r.Position.Offset,
+		Load:         encodeLoad(r.Load),
 	}
 	if failure != nil {
 		m.Fault = fault.OutcomeUnknown
@@ -258,6 +260,21 @@
 	return c.w.Flush()
 }
 
+// encodeLoad returns the message of a load report; nil without one.
+func encodeLoad(r *load.Report) *wasabislipv1.InstanceLoad {
+	if r == nil {
+		return nil
+	}
+	return &wasabislipv1.InstanceLoad{
+		Instance:      r.Instance,
+		Running:       uint32(r.Running),
+		Waiting:       uint32(r.Waiting),
+		ServiceUs:     uint32(r.Service.Microseconds()),
+		CompletedPerS: uint32(r.CompletedPerSecond),
+		StartedMs:     r.StartedMs,
+	}
+}
+
 // milliseconds rounds up, so that no host or caller retries too early.
 func milliseconds(d time.Duration) uint32 {
 	return uint32((d + time.Millisecond - 1) / time.Millisecond)
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -90,6 +90,9 @@
 	warmupLimit *rate.Limiter
 	// hosts is how many hosts send to the instance.
 	hosts int
+	// load measures the load that this host puts on the instance; nil if it is not to
+	// be reported.
+	load *loadMeter
 }
 
 // waiter is a statement that waits for a connection.
--- a/internal/services/forwd/forwd.go
+++ b/internal/services/forwd/forwd.go
@@ -167,6 +167,11 @@
 	return h, ok && h.Name != f.self.Name
 }
 
+// CountHolders returns how many hosts hold connections to an instance.
+func (f *Forwarder) CountHolders(to server.Server) int {
+	return len(f.placement(to).Holders)
+}
+
 // placement returns the holders of the connections to an instance.
 func (f *Forwarder) placement(to server.Server) *holder.Placement {
 	limit := 0
@@ -376,7 +381,7 @@
 		}
 		x.discard()
 	}
-	r, err := connect(ctx, f.dial, x.holder.RunAddress)
+	r, err := connect(ctx, f.dial, x.holder)
 	x.remote = r
 	return err
 }
--- a/internal/services/forwd/remote.go
+++ b/internal/services/forwd/remote.go
@@ -9,10 +9,12 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	wasabislipv1 "wasabislip.example/wasabislip/internal/gen/wasabislip/v1"
+	"wasabislip.example/wasabislip/internal/models/load"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/task"
 	"wasabislip.example/wasabislip/internal/modules/alive"
 	"wasabislip.example/wasabislip/pkg/model/fault"
+	"wasabislip.example/wasabislip/pkg/model/host"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
@@ -46,23 +48,26 @@
 
 // remote is one connection to a holder.
 type remote struct {
-	net net.Conn
-	r   *bufio.Reader
-	w   *bufio.Writer
+	// host is the holder's name.
+	host string
+	net  net.Conn
+	r    *bufio.Reader
+	w    *bufio.Writer
 }
 
-// connect opens a connection to the host at address.
-func connect(ctx context.Context, d dialFunc, address string) (*remote, error) {
+// connect opens a connection to a host.
+func connect(ctx context.Context, d dialFunc, to host.Host) (*remote, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	c, err := d(ctx, "tcp", address)
+	c, err := d(ctx, "tcp", to.RunAddress)
 	if err != nil {
 		return nil, err
 	}
 	return &remote{
-		net: c,
-		r:   bufio.NewReaderSize(c, bufferSize),
-		w:   bufio.NewWriterSize(c, bufferSize),
+		host: to.Name,
+		net:  c,
+		r:    bufio.NewReaderSize(c, bufferSize),
+		w:    bufio.NewWriterSize(c, bufferSize),
 	}, nil
 }
 
@@ -94,7 +99,9 @@
 		return reply.Reply{}, err
 	}
 	if a.GetFault() != "" {
-		return reply.Reply{}, fault.New(a.GetFault(), a.GetReason(), "retry later")
+		return reply.Reply{
+			Load: r.decodeLoad(a.GetLoad()),
+		}, fault.New(a.GetFault(), a.GetReason(), "retry later")
 	}
 	return reply.Reply{
 		Rows:       a.GetRows(),
@@ -108,9 +115,26 @@
 			Term:   a.GetTerm(),
 			Offset: a.GetOffset(),
 		},
+		Load: r.decodeLoad(a.GetLoad()),
 	}, nil
 }
 
+// decodeLoad returns the load report of an answer; nil without one.
+func (r *remote) decodeLoad(m *wasabislipv1.InstanceLoad) *load.Report {
+	if m == nil {
+		return nil
+	}
+	return &load.Report{
+		Instance:           m.GetInstance(),
+		Host:               r.host,
+		Running:            int(m.GetRunning()),
+		Waiting:            int(m.GetWaiting()),
+		Service:            time.Duration(m.GetServiceUs()) * time.Microsecond,
+		CompletedPerSecond: int(m.GetCompletedPerS()),
+		StartedMs:          m.GetStartedMs(),
+	}
+}
+
 // send sends a task without waiting for its answer.
 func (r *remote) send(t *task.Task) error {
 	_, err := protodelim.MarshalTo(r.w, &wasabislipv1.Errand{
--- a/internal/services/pools/pools.go
+++ b/internal/services/pools/pools.go
@@ -43,6 +43,8 @@
 
 	mu    sync.Mutex
 	pools map[string]*entry
+	// reportsLoad says that the pools measure the load that they put on instances.
+	reportsLoad bool
 	// opened and refused are the counts of the pools that were closed.
 	opened  int64
 	refused int64
@@ -64,6 +66,14 @@
 	}
 }
 
+// ReportLoad has the pools report the load that they put on instances. It is called
+// before the first pool is made.
+func (p *Pools) ReportLoad() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reportsLoad = true
+}
+
 // Pool returns the pool of an instance. It makes a new one if the instance is new
 // here, was restarted, or has changed its address or service.
 func (p *Pools) Pool(s server.Server) *conns.Pool {
@@ -80,6 +90,9 @@
 		pool:   conns.New(s, p.dialer),
 		server: s,
 	}
+	if p.reportsLoad {
+		e.pool.ReportLoad()
+	}
 	p.pools[s.ID] = e
 	p.resize(e)
 	return e.pool
--- a/internal/services/runner/runner.go
+++ b/internal/services/runner/runner.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"wasabislip.example/wasabislip/internal/models/load"
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/server"
@@ -59,7 +60,9 @@
 	}
 	r.rollback() // of a caller that began another transaction without an end
 	if err := r.connect(ctx, t); err != nil {
-		return reply.Reply{}, err
+		return reply.Reply{
+			Load: r.load(),
+		}, err
 	}
 	if t.Kind == task.Begin {
 		r.conn.Begin(t.ReadOnly, t.MinPosition)
@@ -107,6 +110,7 @@
 // flushAndReceive sends what is queued and reads the answer. It returns the
 // connection to the pool, unless keeps is set and a transaction is open.
 func (r *Runner) flushAndReceive(t *task.Task, keeps bool) (reply.Reply, error) {
+	sentAt := time.Now()
 	err := r.conn.Flush(t.Deadline)
 	if err != nil {
 		r.returnConn(false)
@@ -122,15 +126,27 @@
 		r.pool.RecordRefusal()
 	case reply.Done:
 		r.pool.RecordSuccess()
+		if t.Kind != task.Begin {
+			r.pool.RecordService(time.Since(sentAt))
+		}
 	}
 	if a.State == reply.Idle || !keeps {
 		r.returnConn(a.State == reply.Idle)
 	} else {
 		r.pool.PauseTransaction(r.conn)
 	}
+	a.Load = r.load()
 	return a, nil
 }
 
+// load returns the load of the instance that was used last; nil if it is not reported.
+func (r *Runner) load() *load.Report {
+	if r.pool == nil {
+		return nil
+	}
+	return r.pool.Load()
+}
+
 // runInTransaction runs a statement of the open transaction. No minimum position
 // is sent with it: the transaction's start has checked that.
 func (r *Runner) runInTransaction(t *task.Task) (reply.Reply, error) {
