Choose instances evenly with the setting instance-choice

With even, the view keeps the latest load reports of the hosts that it hears, drops implausible ones, and orders the instances by package choice. least-cost, the default, is as before: no report is measured or sent. Metrics count the choices by reason, the statements sent to each registered instance and the dropped reports.

--- a/cmd/wasabislip/edge_test.go
+++ b/cmd/wasabislip/edge_test.go
@@ -195,6 +195,15 @@
 		is.NoErr(err)
 		is.Equal(out, "good: host host-1 in a\n")
 	})
+	t.Run("an unknown choice of instances is reported with the known ones", func(t *testing.T) {
+		is := is.New(t)
+		_, err := check(edgeSettings(t) + "instance-choice: random\n")
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), "instance-choice"))
+		is.True(strings.Contains(err.Error(), "use least-cost or even"))
+		_, err = check(edgeSettings(t) + "instance-choice: even\n")
+		is.NoErr(err)
+	})
 	t.Run("all mistakes are reported at once, with hints", func(t *testing.T) {
 		is := is.New(t)
 		text := strings.Replace(edgeSettings(t), "grace: 2s", "grace: 2ms", 1)
--- a/internal/modules/conf/conf.go
+++ b/internal/modules/conf/conf.go
@@ -22,6 +22,14 @@
 	minFiles    = 256
 )
 
+// Choices of the instance for a read.
+const (
+	// LeastCost takes the instance with the lowest latency at this host.
+	LeastCost = "least-cost"
+	// Even divides the reads evenly, by the load that other hosts report.
+	Even = "even"
+)
+
 // Settings are the settings of one host.
 type Settings struct {
 	// Host names this host; unique in the fleet.
@@ -58,6 +66,9 @@
 	MemoryMB int `yaml:"memory-mb"`
 	// MaxFiles is how many file descriptors the process may have.
 	MaxFiles int `yaml:"files"`
+	// InstanceChoice is how the instance for a read is chosen, LeastCost or Even; empty
+	// means LeastCost.
+	InstanceChoice string `yaml:"instance-choice"`
 }
 
 // Load reads and checks the settings file. The fault lists every problem, one
@@ -123,6 +134,9 @@
 	if s.MemoryMB < minMemoryMB {
 		f.AddProblem("memory-mb", "is too little", "use 32 or more")
 	}
+	if s.InstanceChoice != "" && s.InstanceChoice != LeastCost && s.InstanceChoice != Even {
+		f.AddProblem("instance-choice", fmt.Sprintf("%q is not known", s.InstanceChoice), "use least-cost or even")
+	}
 	if s.MaxFiles < minFiles {
 		f.AddProblem("files", "are too few", "use 256 or more")
 	}
--- a/internal/modules/stats/stats.go
+++ b/internal/modules/stats/stats.go
@@ -27,6 +27,8 @@
 	answers              *prometheus.CounterVec
 	refusals             *prometheus.CounterVec
 	reads                *prometheus.CounterVec
+	choices              *prometheus.CounterVec
+	droppedLoads         prometheus.Counter
 	answerSeconds        prometheus.Histogram
 	primaryChangeSeconds *prometheus.HistogramVec
 }
@@ -63,6 +65,17 @@
 			Buckets:   []float64{0.25, 0.5, 1, 2, 3, 5, 8, 12},
 		}, []string{"planned"}),
 	}
+	s.choices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      "choices_total",
+		Help:      "Choices of an instance for a read, by the reason; only with instance-choice even.",
+	}, []string{"reason"})
+	s.droppedLoads = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      "load_reports_dropped_total",
+		Help:      "Load reports that were dropped as implausible.",
+	})
+	s.registry.MustRegister(s.choices, s.droppedLoads)
 	s.registry.MustRegister(s.answers, s.refusals, s.reads, s.answerSeconds, s.primaryChangeSeconds)
 	s.registry.MustRegister(collectors.NewGoCollector())
 	return s
@@ -88,6 +101,16 @@
 	s.reads.WithLabelValues(role).Inc()
 }
 
+// RecordChoice counts a choice of an instance for a read.
+func (s *Stats) RecordChoice(reason string) {
+	s.choices.WithLabelValues(reason).Inc()
+}
+
+// RecordDroppedLoad counts a load report that was dropped.
+func (s *Stats) RecordDroppedLoad() {
+	s.droppedLoads.Inc()
+}
+
 // RecordPrimaryChange records how long a change of primary took.
 func (s *Stats) RecordPrimaryChange(planned bool, took time.Duration) {
 	kind := "no"
@@ -106,6 +129,33 @@
 	}, value))
 }
 
+// AddCounters adds counters by a label whose values are read whenever the metrics are
+// scraped.
+func (s *Stats) AddCounters(name, help, label string, values func() map[string]int64) {
+	s.registry.MustRegister(&counters{
+		desc:   prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{label}, nil),
+		values: values,
+	})
+}
+
+// counters collects the values of AddCounters.
+type counters struct {
+	desc   *prometheus.Desc
+	values func() map[string]int64
+}
+
+// Describe implements prometheus.Collector.
+func (c *counters) Describe(ch chan<- *prometheus.Desc) {
+	ch <- c.desc
+}
+
+// Collect implements prometheus.Collector.
+func (c *counters) Collect(ch chan<- prometheus.Metric) {
+	for value, n := range c.values() {
+		ch <- prometheus.MustNewConstMetric(c.desc, prometheus.CounterValue, float64(n), value)
+	}
+}
+
 // Handler returns the handler that serves the metrics.
 func (s *Stats) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -251,8 +252,13 @@
 	rank := &deferredRank{}
 	registrar := &deferredRegistrar{}
 	h.mirror = mirror.New(h.Store, h.Decoder, rank, h.OperatorTable, h.ServerTable)
+	h.stats = stats.New()
 	h.views = views.New(func(service string) *dbview.View {
-		return dbview.New(service, self.DataCentre, mirror.Fleet, h.mirror, registrar)
+		v := dbview.New(service, self.DataCentre, mirror.Fleet, h.mirror, registrar)
+		if h.Settings.InstanceChoice == conf.Even {
+			v.ChooseEvenly(rand.Float64, h.forwarder.CountHolders, h.stats)
+		}
+		return v
 	})
 	h.rates = &rates.Rates{
 		Homes:     h,
@@ -268,8 +274,11 @@
 	h.forwarder = forwd.New(self, h.gossip, h.mirror, h.pools, h.Network.Dial)
 	h.tasks = tasks.New(h.mirror, h.pools, h.rates)
 	h.requestLog = reqlog.New()
-	h.stats = stats.New()
 	h.registerGauges()
+	if h.Settings.InstanceChoice == conf.Even {
+		h.pools.ReportLoad()
+		h.stats.AddCounters("instance_statements_total", "Statements sent to each registered instance.", "instance", h.views.Sent)
+	}
 }
 
 // registerGauges adds the metrics that are computed when they are read.
@@ -316,6 +325,9 @@
 	debug.SetMemoryLimit(int64(float64(h.Settings.MemoryMB) * heapFraction * (1 << 20)))
 	h.build()
 	klog.InfoS("start", "host", h.Settings.Host, "data-centre", h.Settings.DataCentre, "callers", h.Settings.CallerAddress)
+	if h.Settings.InstanceChoice == conf.Even {
+		klog.InfoS("reads are divided evenly among instances", "instance-choice", h.Settings.InstanceChoice)
+	}
 	listeners, err := h.listen()
 	if err != nil {
 		return err
--- a/internal/services/dbview/choose.go
+++ b/internal/services/dbview/choose.go
@@ -29,15 +29,36 @@
 	primaryCost = 20 * time.Millisecond
 )
 
-// ReadCandidates returns the instances that may run a read, the one with the
-// lowest expected latency first. Replicas that lagged lately are left out unless
-// they are known to have applied minPosition, the log position that the read has
-// to see.
-func (v *View) ReadCandidates(minPosition logpos.Position) []server.Server {
+// ReadCandidates returns the instances that may run a read, in the order in which they
+// are to be asked: the one with the lowest expected latency first or, with an even
+// choice, in the order and for the reason of package choice. Replicas that lagged lately
+// are left out unless they are known to have applied minPosition, the log position that
+// the read has to see.
+func (v *View) ReadCandidates(minPosition logpos.Position) (servers []server.Server, reason string) {
+	var holders map[string]int
+	if v.even != nil {
+		holders = v.countHolders()
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	l, _ := v.leader()
 	now := uptime.Now()
+	list := v.candidates(minPosition, now)
+	if v.even != nil {
+		return v.chooseEvenly(list, holders, now)
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.server.ID, b.server.ID))
+	})
+	servers = make([]server.Server, 0, len(list))
+	for _, c := range list {
+		servers = append(servers, c.server)
+	}
+	return servers, ""
+}
+
+// candidates returns the instances that may run a read; see ReadCandidates.
+func (v *View) candidates(minPosition logpos.Position, now time.Duration) []candidate {
+	l, _ := v.leader()
 	var list []candidate
 	for _, s := range v.tables.Servers(v.service) {
 		if s.Draining || v.tables.Missing(s.ID) || v.tables.Evacuated(s.DataCentre) || v.fails(s.ID) {
@@ -51,24 +72,19 @@
 			continue
 		}
 		list = append(list, candidate{
-			server: s,
-			cost:   v.cost(s, primary, now),
+			server:  s,
+			primary: primary,
+			cost:    v.cost(s, primary, now),
 		})
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.server.ID, b.server.ID))
-	})
-	servers := make([]server.Server, 0, len(list))
-	for _, c := range list {
-		servers = append(servers, c.server)
-	}
-	return servers
+	return list
 }
 
 // candidate is an instance that may run a read, with its cost.
 type candidate struct {
-	server server.Server
-	cost   time.Duration
+	server  server.Server
+	primary bool
+	cost    time.Duration
 }
 
 // cost returns the expected latency of a read, with additions that keep reads off
@@ -93,7 +109,9 @@
 func (v *View) RecordStart(id string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.instance(id).running++
+	in := v.instance(id)
+	in.running++
+	in.sent++
 }
 
 // RecordAnswer records that an instance answered a statement after the time took.
--- a/internal/services/dbview/dbview.go
+++ b/internal/services/dbview/dbview.go
@@ -67,6 +67,8 @@
 	fleet    string
 	tables   tables
 	registry registry
+	// even is set if reads are divided evenly among the instances.
+	even *even
 
 	mu        sync.Mutex
 	instances map[string]*instance
@@ -110,8 +112,15 @@
 	lagUntil   time.Duration
 	lagBackoff time.Duration
 
-	// running counts this host's statements that it runs.
+	// running counts this host's statements that it runs, sent those that were sent to
+	// it in all.
 	running int
+	sent    int64
+
+	// reports are the latest load reports of different hosts, errors its share of
+	// errors; both are kept only for an even choice.
+	reports []report
+	errors  errorShare
 }
 
 // New returns the view that a host in a data centre has of a service. fleet is
--- a/internal/services/sess/attempt.go
+++ b/internal/services/sess/attempt.go
@@ -65,6 +65,7 @@
 	sentAt := uptime.Now()
 	a.view.RecordStart(a.server.ID)
 	r, err := a.runner.Do(ctx, t)
+	a.view.RecordLoad(a.server.ID, r.Load, sentAt)
 	if err != nil {
 		a.view.RecordAbandoned(a.server.ID)
 		if !fault.IsKind(err, fault.Overloaded) && !a.runner.HolderFailed() {
@@ -73,6 +74,7 @@
 		return r, err
 	}
 	a.view.RecordAnswer(a.server.ID, uptime.Now()-sentAt, r.Position)
+	a.view.RecordOutcome(a.server.ID, r.Outcome)
 	switch {
 	case r.Outcome == reply.Lagging:
 		a.view.RecordLag(a.server.ID)
--- a/internal/services/sess/autocommit.go
+++ b/internal/services/sess/autocommit.go
@@ -162,8 +162,10 @@
 	waited           bool
 	attempts         int
 	running          int
-	results          chan readResult
-	lastReply        reply.Reply
+	// choice is why the instances were ordered as they were; see package choice.
+	choice    string
+	results   chan readResult
+	lastReply reply.Reply
 }
 
 // readResult is the answer of one instance to a read.
@@ -275,6 +277,7 @@
 	leaseAge, leaseSource := x.view.LastRenewal()
 	x.session.lastDecision = decision{
 		instance:    to.ID,
+		choice:      x.choice,
 		minPosition: minPosition,
 		attempts:    x.attempts,
 		leaseAge:    leaseAge,
@@ -306,7 +309,9 @@
 		return server.Server{}, false, logpos.Position{}, false
 	}
 	l, _ := x.view.Leader()
-	for _, s := range x.view.ReadCandidates(minPosition) {
+	candidates, reason := x.view.ReadCandidates(minPosition)
+	x.choice = reason
+	for _, s := range candidates {
 		if x.tried[s.ID] || x.lagged[s.ID] {
 			continue
 		}
--- a/internal/services/sess/sess.go
+++ b/internal/services/sess/sess.go
@@ -85,6 +85,8 @@
 type decision struct {
 	// instance is the last instance that it was sent to; empty without one.
 	instance string
+	// choice is why a read was sent there; empty with the choice by least cost.
+	choice string
 	// minPosition is the position that the instance's log had to have reached.
 	minPosition logpos.Position
 	// attempts is how many times it was sent to an instance.
@@ -365,6 +367,9 @@
 		"lease-age", s.lastDecision.leaseAge.String(),
 		"lease-source", s.lastDecision.leaseSource,
 	}
+	if s.lastDecision.choice != "" {
+		fields = append(fields, "choice", s.lastDecision.choice)
+	}
 	if p := s.Config.Policy(); p != nil {
 		fields = append(fields, "workspace", p.Owners[s.Key], "version", p.Version)
 	}
--- a/internal/services/sess/tx.go
+++ b/internal/services/sess/tx.go
@@ -177,7 +177,8 @@
 		return false
 	}
 	l, _ := v.Leader()
-	for i, to := range v.ReadCandidates(minPosition) {
+	candidates, _ := v.ReadCandidates(minPosition)
+	for i, to := range candidates {
 		if to.ID == l.Primary || i >= maxAttempts {
 			return false
 		}
--- a/internal/services/views/views.go
+++ b/internal/services/views/views.go
@@ -3,6 +3,7 @@
 package views
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -173,3 +174,12 @@
 	}
 	return list
 }
+
+// Sent returns how many statements this host sent to each registered instance.
+func (vs *Views) Sent() map[string]int64 {
+	sent := map[string]int64{}
+	for _, v := range vs.all() {
+		maps.Copy(sent, v.Sent())
+	}
+	return sent
+}
--- a/internal/standin/simenv/simenv.go
+++ b/internal/standin/simenv/simenv.go
@@ -71,6 +71,9 @@
 	// is NewConn, which wraps callers' connections to hosts.
 	Tuning  tuning.Tuning
 	NewConn func(c net.Conn) wire.Conn
+	// InstanceChoice is the setting of that name of the hosts. It is set before they
+	// start.
+	InstanceChoice string
 	// Pause is called where a host that replaces a primary may be suspended; nil is no
 	// pause. It is set before the hosts start. See the steps of pausingStore and
 	// pausingPromoter.
@@ -392,6 +395,7 @@
 			RateTolerance:  20,
 			MemoryMB:       284,
 			MaxFiles:       4200,
+			InstanceChoice: e.InstanceChoice,
 		},
 		Store: &pausingStore{
 			Client: rows.New(StoreAddress, network.Dial),
