--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -264,8 +265,13 @@
 	rank := &deferredRank{}
 	registrar := &deferredRegistrar{}
 	h.mirror = mirror.New(h.Store, h.Decoder, rank, h.OperatorTable, h.ServerTable)
+	h.stats = stats.New()
 	h.views = views.New(func(service string) *dbview.View {
-		return dbview.New(service, self.DataCentre, mirror.Fleet, h.mirror, registrar)
+		v := dbview.New(service, self.DataCentre, mirror.Fleet, h.mirror, registrar)
+		if h.Settings.InstanceChoice == conf.Even {
+			v.ChooseEvenly(rand.Float64, h.forwarder.CountHolders, h.stats)
+		}
+		return v
 	})
 	h.rates = &rates.Rates{
 		Homes:     h,
@@ -287,9 +293,12 @@
 	h.forwarder = forwd.New(self, h.gossip, h.mirror, h.pools, h.Network.Dial)
 	h.tasks = tasks.New(h.mirror, h.pools, h.rates)
 	h.requestLog = reqlog.New()
-	h.stats = stats.New()
 	h.rates.Meter = h.stats
 	h.registerGauges()
+	if h.Settings.InstanceChoice == conf.Even {
+		h.pools.ReportLoad()
+		h.stats.AddCounters("instance_statements_total", "Statements sent to each registered instance.", "instance", h.views.Sent)
+	}
 	h.buildUsage(self)
 }
 
@@ -359,6 +368,9 @@
 	debug.SetMemoryLimit(int64(float64(h.Settings.MemoryMB) * heapFraction * (1 << 20)))
 	h.build()
 	klog.InfoS("start", "host", h.Settings.Host, "data-centre", h.Settings.DataCentre, "callers", h.Settings.CallerAddress)
+	if h.Settings.InstanceChoice == conf.Even {
+		klog.InfoS("reads are divided evenly among instances", "instance-choice", h.Settings.InstanceChoice)
+	}
 	listeners, err := h.listen()
 	if err != nil {
 		return err
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -93,6 +93,9 @@
 	// hosts is how many hosts send to the instance.
 	hosts int
 	admission
+	// load measures the load that this host puts on the instance; nil if it is not to
+	// be reported.
+	load *loadMeter
 }
 
 // waiter is a statement that waits for a connection.
