--- a/internal/models/sched/sched.go
+++ b/internal/models/sched/sched.go
@@ -118,7 +118,7 @@
 		Request:   r,
 		Arrived:   now,
 		Latest:    s.latest(now, r),
-		deadline:  now + r.Objective,
+		deadline:  now + max(r.Objective, r.Wait), // the objective may not be known
 		returning: s.turns.redeem(now, r),
 	}
 	i := s.position(w)
