--- a/internal/services/billing/billing_test.go
+++ b/internal/services/billing/billing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -253,10 +254,13 @@
 	})
 	play("the platform is away: it is asked once a second at most, and gets all windows", func(is *is.I, w *world) {
 		_, window := w.awaitFinal(is)
-		refused := 0
-		w.bills.SetFault(func() string { refused++; return bills.Busy })
+		var refused atomic.Int64
+		w.bills.SetFault(func() string {
+			refused.Add(1)
+			return bills.Busy
+		})
 		time.Sleep(22 * time.Second)
-		is.True(refused >= 10 && refused <= 23)
+		is.True(refused.Load() >= 10 && refused.Load() <= 23)
 		w.bills.SetFault(nil)
 		await(is, func() bool { last := w.report(); return last >= window+4 })
 		for i := range uint64(5) {
