Send a content right after it is final

A holder that is lost in between leaves a report that comes 0.2 s too late: the successor takes over when the next window is missing.

--- a/internal/services/billing/billing.go
+++ b/internal/services/billing/billing.go
@@ -497,9 +497,19 @@
 		hold.Since = in.Hold.Since
 	}
 	r.hold = hold
+	r.decideAgain()
 	return true
 }
 
+// decideAgain makes the next decision follow at once: a content that is final is sent
+// before its holder may be lost.
+func (r *Reporter) decideAgain() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
 // eraRow returns the row that a write expects so that it fails if it comes late, after
 // the store was restored and a later era was opened; see docs/design/restored-store.md.
 func (r *Reporter) eraRow(era uint64) tuple.Tuple {
@@ -651,10 +661,7 @@
 	if len(r.undelivered) > 0 && r.undelivered[0].Window == c.Window {
 		r.undelivered = r.undelivered[1:]
 	}
-	select {
-	case r.changed <- struct{}{}:
-	default:
-	}
+	r.decideAgain()
 }
 
 // passOn sends the counts of hosts that are gone to the host that reports next. The
--- a/internal/services/billing/world_test.go
+++ b/internal/services/billing/world_test.go
@@ -65,7 +65,10 @@
 	hosts     []*process
 	suspended map[int]time.Time
 	// held holds up the next write to the store until it is closed; nil for none.
-	held      chan struct{}
+	held chan struct{}
+	// atCall is for how long a host is suspended right before its next report, by
+	// index.
+	atCall    map[int]time.Duration
 	eras      uint64
 	running   sync.WaitGroup
 	stopped   chan struct{}
@@ -96,6 +99,7 @@
 			bills:     bills.New(params.Lease),
 			hosts:     make([]*process, hosts),
 			suspended: map[int]time.Time{},
+			atCall:    map[int]time.Duration{},
 			stopped:   make(chan struct{}),
 		}
 		w.serve(storeAddress, http.HandlerFunc(w.serveStore))
@@ -201,6 +205,7 @@
 		Store:     store,
 		Platform: order.New(apiAddress, func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := w.net.Dialer(ip(i))(ctx, network, address)
+			w.suspendAtCall(i)
 			p.gate()
 			return c, err
 		}),
@@ -250,6 +255,17 @@
 	w.suspended[i] = time.Now().Add(length)
 }
 
+// suspendAtCall suspends a host if that was to happen right before its next report.
+func (w *world) suspendAtCall(i int) {
+	w.mu.Lock()
+	d, ok := w.atCall[i]
+	delete(w.atCall, i)
+	w.mu.Unlock()
+	if ok {
+		w.suspend(i, d)
+	}
+}
+
 // restore brings back an older copy of the store, and opens the era later.
 func (w *world) restore(age time.Duration) {
 	w.store.Restore(age)
