--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -289,9 +289,14 @@
 // exchange sends this host's state to another host and merges the answer; hosts says
 // whether the reports of other hosts are exchanged too, beside the tables.
 func (g *Gossip) exchange(ctx context.Context, h host.Host, hosts bool) {
+	g.exchangeAbout(ctx, h, hosts, g.views.Questions(!g.isLarge()))
+}
+
+// exchangeAbout is exchange with questions about these services.
+func (g *Gossip) exchangeAbout(ctx context.Context, h host.Host, hosts bool, services []*wasabislipv1.ServiceReport) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	sent := g.knowledge(h.Name, g.views.Questions(!g.isLarge()), nil, hosts && g.pushesAll(), g.packsFor(h.Name))
+	sent := g.knowledge(h.Name, services, nil, hosts && g.pushesAll(), g.packsFor(h.Name))
 	var marks []uint64
 	if hosts {
 		marks = g.askForBeats(sent)
--- a/internal/services/gossip/positions.go
+++ b/internal/services/gossip/positions.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	wasabislipv1 "wasabislip.example/wasabislip/internal/gen/wasabislip/v1"
 	"wasabislip.example/wasabislip/internal/models/leader"
 	"wasabislip.example/wasabislip/internal/modules/guard"
 	"wasabislip.example/wasabislip/pkg/model/host"
@@ -31,10 +32,10 @@
 			continue
 		}
 		var calls conc.WaitGroup
-		for _, h := range g.pollersOf(g.views.Outdated(maxPositionAge)) {
+		for _, p := range g.pollersOf(g.views.Outdated(maxPositionAge)) {
 			calls.Go(func() {
 				guard.Run("gossip-position", func() {
-					g.exchange(ctx, h, false)
+					g.exchangeAbout(ctx, p.host, false, p.questions)
 				})
 			})
 		}
@@ -42,19 +43,38 @@
 	}
 }
 
+// pollerOf is a host that polls the primaries of services, and the questions about them.
+type pollerOf struct {
+	host      host.Host
+	questions []*wasabislipv1.ServiceReport
+}
+
 // pollersOf returns the hosts that poll the primaries of services, at most
-// maxPositionCalls and without this one.
-func (g *Gossip) pollersOf(services []string) []host.Host {
+// maxPositionCalls and without this one. Each is asked only for what it polls: a hub that
+// noted other services as asked for would ask others in turn, for ever.
+func (g *Gossip) pollersOf(services []string) []*pollerOf {
 	ranked := g.topology().ranked
-	var list []host.Host
+	byName := map[string]*pollerOf{}
+	var list []*pollerOf
 	for _, service := range services {
-		if len(list) == maxPositionCalls {
-			break
-		}
 		h := topRanked(ranked, g.self, leader.Duty(service))
-		if h.Name != g.self.Name && !contains(list, h.Name) {
-			list = append(list, h)
+		if h.Name == g.self.Name {
+			continue
+		}
+		p, ok := byName[h.Name]
+		if !ok {
+			if len(list) == maxPositionCalls {
+				continue
+			}
+			p = &pollerOf{
+				host: h,
+			}
+			byName[h.Name] = p
+			list = append(list, p)
 		}
+		p.questions = append(p.questions, &wasabislipv1.ServiceReport{
+			Service: service,
+		})
 	}
 	return list
 }
--- a/internal/services/gossip/spread_test.go
+++ b/internal/services/gossip/spread_test.go
@@ -24,6 +24,7 @@
 func (emptySources) Reports([]*wasabislipv1.ServiceReport) []*wasabislipv1.ServiceReport {
 	return nil
 }
+
 func (emptySources) PeerHasNewerLease([]*wasabislipv1.ServiceReport) bool {
 	return false
 }
--- a/internal/services/views/views.go
+++ b/internal/services/views/views.go
@@ -24,8 +24,8 @@
 	// hosts do not fetch from each other without end.
 	minRenewalGain = 200 * time.Millisecond
 	// usedFor is how long after a caller's statement a host of a large fleet asks the
-	// others for a service's reports, askedFor how long it does so for another host:
-	// several exchanges.
+	// others for a service's reports, askedFor how long a reader or hub keeps the
+	// position up to date for it: several exchanges.
 	usedFor  = 5 * time.Second
 	askedFor = 2 * time.Second
 	// maxQuestions bounds the services in a request of a large fleet: with their
@@ -85,8 +85,9 @@
 // Questions returns what a request to another host asks and tells: the services whose
 // reports are to be in the answer, and the leases that were renewed by the replicas
 // lately. These are all services in a small fleet (all), and otherwise those that this
-// host's callers use, or that others ask for here, at most maxQuestions, and those whose
-// lease the store did not renew or whose primary this host can't reach.
+// host's callers use, at most maxQuestions, and those whose lease the store did not renew
+// or whose primary this host can't reach. What others ask for here is not asked on: two
+// hosts would keep asking each other.
 func (vs *Views) Questions(all bool) []*wasabislipv1.ServiceReport {
 	now := uptime.Now()
 	var list, asked []*wasabislipv1.ServiceReport
@@ -104,7 +105,7 @@
 			list = append(list, r)
 			continue
 		}
-		if all || now-v.LastUse() < usedFor || now-vs.lastAsked(v.Service()) < askedFor {
+		if all || now-v.LastUse() < usedFor {
 			asked = append(asked, r)
 		}
 	}
