--- a/internal/services/poller/poller_test.go
+++ b/internal/services/poller/poller_test.go
@@ -43,6 +43,13 @@
 	mu      sync.Mutex
 	reports map[string]report.Report
 	down    map[string]bool
+	// full says that instances accept no more connections, dials counts those opened,
+	// questions how often the other pollers were asked, and unknown says that the
+	// other hosts are not known yet.
+	full      bool
+	dials     int
+	questions int
+	unknown   bool
 }
 
 // session is a connection to an instance.
@@ -139,6 +146,51 @@
 	})
 }
 
+// TestPolls guards against polls that overload instances: a fleet that started opened
+// 585,000 connections to instances that refused them, and hosts that had heard of few
+// others polled all primaries.
+func TestPolls(t *testing.T) {
+	const watched = 10 * time.Second
+	run(t, "an instance that refuses connections is asked at most every 0.3 s", func(is *is.I, w *world) {
+		w.mu.Lock()
+		w.full = true
+		w.mu.Unlock()
+		time.Sleep(3 * time.Second) // idle connections are closed
+		before := w.countDials()
+		time.Sleep(watched)
+		// Each round of a renewal opens two: one for the position, one for the lease.
+		is.True(w.countDials()-before <= 2*int(watched/(300*time.Millisecond))+2)
+	})
+	run(t, "the other pollers are asked about a primary that does not answer", func(is *is.I, w *world) {
+		time.Sleep(renewals)
+		is.Equal(w.countQuestions(), 0)
+		w.crash("i-1")
+		time.Sleep(renewals)
+		is.True(w.countQuestions() >= 3)
+	})
+	run(t, "nothing is polled while the other hosts are not known", func(is *is.I, w *world) {
+		w.mu.Lock()
+		w.unknown = true
+		w.mu.Unlock()
+		time.Sleep(renewals)
+		before := w.countDials()
+		time.Sleep(renewals)
+		is.Equal(w.countDials(), before)
+	})
+}
+
+func (w *world) countQuestions() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.questions
+}
+
+func (w *world) countDials() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dials
+}
+
 func (w *world) set(id string, r report.Report) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -153,6 +205,9 @@
 
 // Dial opens a connection to an instance, whose address is its id.
 func (w *world) Dial(_ context.Context, address string) (link.Link, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dials++
 	return &session{
 		world: w,
 		id:    address,
@@ -160,6 +215,13 @@
 }
 
 func (s *session) StartSession(string, string, string) (reply.Reply, error) {
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	if s.world.full {
+		return reply.Reply{
+			Outcome: reply.TooManyConnections,
+		}, nil
+	}
 	return reply.Reply{}, nil
 }
 
@@ -209,9 +271,18 @@
 func (w *world) LeasesAsOf() time.Duration { return 0 }
 func (w *world) Rank(string) int           { return 0 }
 func (w *world) IsAmong(string, int) bool  { return true }
-func (w *world) KnowsFleet() bool          { return true }
 
-func (w *world) AskFirst(context.Context, string, int) {}
+func (w *world) KnowsFleet() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.unknown
+}
+
+func (w *world) AskFirst(context.Context, string, int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.questions++
+}
 
 func (w *world) PushNow()                 {}
 func (w *world) View(string) *dbview.View { return w.view }
