--- a/internal/services/gossip/join.go
+++ b/internal/services/gossip/join.go
@@ -25,9 +25,11 @@
 	settleTime = 3 * time.Second
 	// knownFor is how long the number of known hosts has not changed when a host
 	// that has just started takes the fleet for known: several exchanges. It does so
-	// after maxUnknown in any case, before a primary can count as silent.
+	// after maxUnknown in any case. Hosts that start again are registered, so that
+	// their number does not change; those of a new fleet take some two seconds to
+	// register.
 	knownFor   = 300 * time.Millisecond
-	maxUnknown = 800 * time.Millisecond
+	maxUnknown = 2500 * time.Millisecond
 	// firstCopiesTimeout bounds how long an answer waits for this host's first
 	// copies. It is shorter than exchangeTimeout.
 	firstCopiesTimeout = 350 * time.Millisecond
--- a/internal/standin/simenv/simenv.go
+++ b/internal/standin/simenv/simenv.go
@@ -51,6 +51,9 @@
 	// settleTime is longer than any call or timer of the stand-ins, so that
 	// none is left when Close returns.
 	settleTime = 5 * time.Second
+	// memoryMB is more than the hosts of a large fleet take together: all of them run in
+	// one process, which the runtime's limit of one host made collect without end.
+	memoryMB = 8 << 10
 	// GracePeriod is how long a planned stop of a host may take.
 	GracePeriod = 6 * time.Second
 )
@@ -505,7 +508,7 @@
 			RateWindow:     5 * time.Second,
 			RateOverage:    0.1,
 			RateTolerance:  20,
-			MemoryMB:       284,
+			MemoryMB:       memoryMB,
 			MaxFiles:       4200,
 		},
 		Store: &pausingStore{
