Poll nothing before the first copy of the fleet table

Until a new fleet's first hosts register there is no copy of the fleet table and so no lease: hosts counted that as an outage of the store, asked all replicas for a renewal ten times a second, and pushed each to the hubs, which pulled it.

--- a/internal/services/poller/poller.go
+++ b/internal/services/poller/poller.go
@@ -134,8 +134,11 @@
 // pollers, has no poll under way and needs an answer. It begins with a random service,
 // so that each gets its turn when there are too many.
 func (p *Poller) startRounds(ctx context.Context, parts *conc.WaitGroup) {
-	if !p.hosts.KnowsFleet() {
-		return // it would take itself for one of few hosts, and poll all primaries
+	if p.directory.LeasesAsOf() == 0 || !p.hosts.KnowsFleet() {
+		// Without a copy of the fleet table there is no lease, and no answer counts. A
+		// host that does not know the others would take itself for one of few, and poll
+		// all primaries.
+		return
 	}
 	now := uptime.Now()
 	list := p.directory.Services()
