--- a/internal/services/gossip/beats.go
+++ b/internal/services/gossip/beats.go
@@ -176,35 +176,18 @@
 func (g *Gossip) addBeats(k *wasabislipv1.Knowledge, asked *wasabislipv1.Table) bool {
 	now := uptime.Now()
 	own := k.GetHosts()[0]
-	list := []beat{{
+	live := g.listBeats(now)
+	if 4*len(live.changed) > len(live.list) {
+		return false
+	}
+	newest := max(live.newest, own.GetSeen())
+	self := beat{
 		mark:  markOf(own),
 		heard: now,
 		seen:  own.GetSeen(),
-	}}
-	var changed []*wasabislipv1.HostReport
-	newest := own.GetSeen()
-	g.mu.Lock()
-	for _, p := range g.hosts {
-		if now-p.lastHeard >= aliveTimeout {
-			continue
-		}
-		list = append(list, beat{
-			mark:  p.mark,
-			heard: p.lastHeard,
-			seen:  p.report.GetSeen(),
-		})
-		newest = max(newest, p.report.GetSeen())
-		if now-p.changed < beatChanges {
-			changed = append(changed, passOn(p, now))
-		}
 	}
-	g.mu.Unlock()
-	if 4*len(changed) > len(list) {
-		return false
-	}
-	slices.SortFunc(list, func(a, b beat) int {
-		return cmp.Compare(a.mark, b.mark)
-	})
+	i, _ := slices.BinarySearchFunc(live.list, self, compareBeats)
+	list := slices.Insert(slices.Clone(live.list), i, self)
 	marks := make([]uint64, 0, len(list))
 	for _, b := range list {
 		marks = append(marks, b.mark)
@@ -217,7 +200,7 @@
 		}
 		data = b.append(data, now, newest)
 	}
-	k.Hosts = append(k.Hosts, changed...)
+	k.Hosts = append(k.Hosts, live.changed...)
 	k.Tables = append(k.Tables, &wasabislipv1.Table{
 		Name:       beatsTable,
 		Version:    newest,
@@ -227,6 +210,51 @@
 	return true
 }
 
+// liveBeats is the beats of the other live hosts in the order of their marks, made at a
+// time, the newest version among them, and the reports that changed lately. It is
+// immutable: a hub answers tens of hosts a second.
+type liveBeats struct {
+	at      time.Duration
+	list    []beat
+	newest  uint64
+	changed []*wasabislipv1.HostReport
+}
+
+// listBeats returns the beats of the other live hosts as of at most packMaxAge ago.
+func (g *Gossip) listBeats(now time.Duration) *liveBeats {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.beats != nil && now-g.beats.at < packMaxAge {
+		return g.beats
+	}
+	live := &liveBeats{
+		at: now,
+	}
+	for _, p := range g.hosts {
+		if now-p.lastHeard >= aliveTimeout {
+			continue
+		}
+		live.list = append(live.list, beat{
+			mark:  p.mark,
+			heard: p.lastHeard,
+			seen:  p.report.GetSeen(),
+		})
+		live.newest = max(live.newest, p.report.GetSeen())
+		if now-p.changed < beatChanges {
+			r := passOn(p, now)
+			r.AgeMs += uint64(packMaxAge / time.Millisecond) // sent so much later at most
+			live.changed = append(live.changed, r)
+		}
+	}
+	slices.SortFunc(live.list, compareBeats)
+	g.beats = live
+	return live
+}
+
+func compareBeats(a, b beat) int {
+	return cmp.Compare(a.mark, b.mark)
+}
+
 // append encodes a beat without its mark.
 func (b beat) append(data []byte, now time.Duration, newest uint64) []byte {
 	age := min((now-b.heard+ageUnit-1)/ageUnit, maxAge)
--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -125,7 +125,9 @@
 	// came.
 	marks      map[uint64]*peer
 	listNeeded bool
-	lastList   time.Duration
+	// beats caches the answers' beats.
+	beats    *liveBeats
+	lastList time.Duration
 	// unreachable caches CountUnreachable.
 	unreachable unreachableCount
 	// hostsChanged says that a host came, went, restarted or stopped.
