Bound the parts of hosts whose demand rises as the network splits

A part took a rising demand over at once, and a host that had lost its home took the demand of that moment for the one that the home knew of.

A part grows by a quarter at most before others know of the demand, and the part of a host that has lost its home follows a demand that is a second older.

--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -83,6 +83,9 @@
 	// newHomeTime is how long after it became the home a host may not be asked for all
 	// operations yet: handoverTime, and askedWindow on top.
 	newHomeTime = handoverTime + askedWindow
+	// risenFactor bounds how much a part grows by a demand that other hosts do not know
+	// of yet. Without a bound the parts double when all demands rise at once.
+	risenFactor = 1.25
 	// demandError is the relative error of a reported demand: its encoding and the
 	// larger of two averages.
 	demandError = 0.15
@@ -162,9 +165,12 @@
 	// the callers of other hosts, both as of the last UpdateShares.
 	localRate   float64
 	otherDemand float64
-	// reportedDemand is the demand of this host's callers when it last heard of the
-	// home, which then heard of this host.
+	// reportedDemand is the demand of this host's callers at least lostAfter before it
+	// found that the home is lost: the home heard of it. nextReported is the next
+	// value, and reportedAt when the value last changed.
 	reportedDemand float64
+	nextReported   float64
+	reportedAt     time.Time
 	// homeDemand is what all hosts ask this one for as the home, and homeBucket
 	// the bucket that it grants them from; heardFraction is the fraction of all
 	// hosts that this host hears from. homeSince is when this host became the home, and
@@ -433,10 +439,10 @@
 		// the parts of hosts whose demands rise together would else sum up to less than
 		// the rate.
 		if risen := min(w.callerDemand.current, localRate); risen > own && othersDemand+risen <= declared.Rate {
-			localRate = bucket.HostRate(knownRate, risen, othersDemand+risen, known)
+			localRate = min(risenFactor*localRate, bucket.HostRate(knownRate, risen, othersDemand+risen, known))
 		}
 		if !r.isHomeLost(name) {
-			w.reportedDemand = own
+			w.noteReported(now, own)
 		} else {
 			localRate = min(localRate, lostPart(w.reportedDemand, rate, hosts))
 		}
@@ -464,6 +470,15 @@
 	return elsewhere && r.ReportAge(home) > lostAfter
 }
 
+// noteReported records the demand of this host's callers while it hears of the home.
+func (w *usage) noteReported(now time.Time, demand float64) {
+	if now.Sub(w.reportedAt) >= lostAfter {
+		w.reportedDemand = w.nextReported
+		w.nextReported = demand
+		w.reportedAt = now
+	}
+}
+
 // lostPart returns the part of a host that has lost its home, which knows of a demand of
 // that host.
 func lostPart(demand, rate float64, hosts int) float64 {
