--- a/internal/services/rates/rates.go
+++ b/internal/services/rates/rates.go
@@ -77,9 +77,15 @@
 	// handoverTime is how long a former home grants to hosts that have not heard of the
 	// change of the home: a round of exchanges.
 	handoverTime = 500 * time.Millisecond
+	// handoverRate is the fraction of the rate that it grants then: about what is
+	// asked of it while the others turn to the new home.
+	handoverRate = 0.5
 	// newHomeTime is how long after it became the home a host may not be asked for all
 	// operations yet: handoverTime, and askedWindow on top.
 	newHomeTime = handoverTime + askedWindow
+	// risenFactor bounds how much a part grows by a demand that other hosts do not know
+	// of yet. Without a bound the parts double when all demands rise at once.
+	risenFactor = 1.25
 	// demandError is the relative error of a reported demand: its encoding and the
 	// larger of two averages.
 	demandError = 0.15
@@ -159,9 +165,12 @@
 	// the callers of other hosts, both as of the last UpdateShares.
 	localRate   float64
 	otherDemand float64
-	// reportedDemand is the demand of this host's callers when it last heard of the
-	// home, which then heard of this host.
+	// reportedDemand is the demand of this host's callers at least lostAfter before it
+	// found that the home is lost: the home heard of it. nextReported is the next
+	// value, and reportedAt when the value last changed.
 	reportedDemand float64
+	nextReported   float64
+	reportedAt     time.Time
 	// homeDemand is what all hosts ask this one for as the home, and homeBucket
 	// the bucket that it grants them from; heardFraction is the fraction of all
 	// hosts that this host hears from. homeSince is when this host became the home, and
@@ -171,6 +180,8 @@
 	heardFraction float64
 	homeSince     time.Time
 	homeUntil     time.Time
+	// handingOver tells that this host was the home before; others may still ask it.
+	handingOver bool
 	// asked counts what other hosts ask this one for, granted what this host granted
 	// as the home or admitted by its part, and elsewhere what other hosts admitted by their parts, as far as
 	// they report it.
@@ -254,7 +265,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w, known := s.workspaces[workspace]
-	return known && (w.homeBucket.Initialized() || time.Since(w.homeUntil) < handoverTime)
+	if !known {
+		return false
+	}
+	if w.handingOver {
+		return time.Since(w.homeUntil) < handoverTime
+	}
+	return w.homeBucket.Initialized()
 }
 
 // grant takes one token from the bucket of a workspace whose home is this host. remote
@@ -420,10 +437,10 @@
 		// the parts of hosts whose demands rise together would else sum up to less than
 		// the rate.
 		if risen := min(w.callerDemand.current, localRate); risen > own && othersDemand+risen <= declared.Rate {
-			localRate = bucket.HostRate(knownRate, risen, othersDemand+risen, known)
+			localRate = min(risenFactor*localRate, bucket.HostRate(knownRate, risen, othersDemand+risen, known))
 		}
 		if !r.isHomeLost(name) {
-			w.reportedDemand = own
+			w.noteReported(now, own)
 		} else {
 			localRate = min(localRate, lostPart(w.reportedDemand, rate, hosts))
 		}
@@ -435,7 +452,7 @@
 		next := partsOf(others, i, len(names), knownRate, all, known)
 		next.late = lostParts(late, i, rate, hosts)
 		next.lost = lostParts(lost, i, rate, hosts)
-		r.updateLeave(w, now, next, w.homeBucket.Initialized())
+		r.updateLeave(w, now, next, w.homeBucket.Initialized() && !w.handingOver)
 		r.placeHomeBucket(name, w, now)
 		s.mu.Unlock()
 	}
@@ -451,6 +468,15 @@
 	return elsewhere && r.ReportAge(home) > lostAfter
 }
 
+// noteReported records the demand of this host's callers while it hears of the home.
+func (w *usage) noteReported(now time.Time, demand float64) {
+	if now.Sub(w.reportedAt) >= lostAfter {
+		w.reportedDemand = w.nextReported
+		w.nextReported = demand
+		w.reportedAt = now
+	}
+}
+
 // lostPart returns the part of a host that has lost its home, which knows of a demand of
 // that host.
 func lostPart(demand, rate float64, hosts int) float64 {
@@ -555,18 +581,29 @@
 		return
 	}
 	if _, elsewhere := r.Homes.Home(workspace); elsewhere {
-		if w.homeBucket.Initialized() {
+		if w.homeBucket.Initialized() && !w.handingOver {
 			w.homeBucket = bucket.Bucket{}
 			w.homeUntil = now
+			w.handingOver = true
 		}
 		return
 	}
+	if w.handingOver {
+		w.homeBucket = bucket.Bucket{}
+		w.handingOver = false
+	}
 	if !w.homeBucket.Initialized() {
 		w.homeSince = now
 	}
 	w.homeDemand.average(now)
 	exceeded := w.homeDemand.exceededFor(now, w.homeDemand.current > w.declared.Rate)
 	r.fillHomeBucket(w, now, exceeded)
+	// A new home begins with few tokens, as it does not know what the former one
+	// granted. Once it knows a whole window, it has what a bucket that was full before
+	// that window would hold.
+	if now.Sub(w.homeSince) >= r.Window {
+		w.homeBucket.Raise(now, slide.Level(now, w.homeBucket.Rate(), w.homeBucket.Burst(), &w.granted, &w.elsewhere))
+	}
 }
 
 // fillHomeBucket adds the tokens that are due to the bucket of a workspace whose home
@@ -578,6 +615,11 @@
 	if now.Sub(w.homeUntil) < r.Window {
 		initial = 0 // this host has had its part of the window
 	}
+	if w.handingOver {
+		w.homeBucket.Init(now, 0)
+		w.homeBucket.SetRate(now, rate*handoverRate, 1)
+		return
+	}
 	w.homeBucket.Init(now, max(minInitialTokens, initial))
 	burst -= reservedMoves * reserve
 	rate = min(rate*w.heardFraction, max(0, rate-w.leave.reported-w.missing(now)))
