Count errors as a wait, so that a sole local replica is left

An instance that quickly returned errors kept all reads of its data centre if it was the only preferred one: errors lowered its share among the preferred, of which there was no other. They now count as the time of another try, so that reads overflow to other instances.

--- a/internal/models/choice/choice.go
+++ b/internal/models/choice/choice.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -51,6 +52,12 @@
 	// primaryCost is the cost of the primary, since writes need its slots: about the
 	// time for which one read takes up a slot.
 	primaryCost = 20 * time.Millisecond
+	// errorCost is the cost of an answer that is an error: a caller that tries again
+	// does so after some 50 to 300 ms.
+	errorCost = 200 * time.Millisecond
+	// failingErrors is the share of errors of an instance that did not answer lately. It
+	// leaves it some reads, so that its return is seen.
+	failingErrors = 0.5
 	// unprovenShare is the part of an even share for an instance that fails or has just
 	// started. It is small enough for one that is half as fast as the others.
 	unprovenShare = 0.5
@@ -159,7 +166,7 @@
 			inFlight += list[i].InFlight
 		}
 	}
-	first, most := -1, 0.0
+	first, most := 0, math.Inf(-1)
 	for i, share := range shares {
 		id := list[i].ID
 		credit, ok := c.credits[id]
@@ -169,7 +176,7 @@
 		credit += share
 		c.credits[id] = credit
 		due := credit + share*float64(inFlight) - float64(list[i].InFlight)
-		if share > 0 && (first < 0 || due > most) {
+		if share > 0 && due > most {
 			first = i
 			most = due
 		}
--- a/internal/models/choice/choice_test.go
+++ b/internal/models/choice/choice_test.go
@@ -77,6 +77,10 @@
 	run("a cold instance attracts none", with(func(c *choice.Candidate) { c.Cold = true }, usual), isAtMostEven)
 	run("a failing instance attracts none", with(func(c *choice.Candidate) { c.Failing = true }, usual), isAtMostEven)
 	run("an instance that returns errors gets none", with(func(c *choice.Candidate) { c.Errors = 1 }, usual), isNone)
+	elsewhere := loaded("b", 0, age)
+	elsewhere.Local = false
+	run("an instance that returns errors gets none even if it is the only local one", with(func(c *choice.Candidate) { c.Errors = 1 }, elsewhere), isNone)
+	run("a failing instance gets few even if it is the only local one", with(func(c *choice.Candidate) { c.Failing = true }, elsewhere), isAtMostEven)
 	run("errors of all are the callers'", with(func(c *choice.Candidate) { c.Errors = 0.5 }, func() choice.Candidate {
 		c := usual
 		c.Errors = 0.5
--- a/internal/models/choice/estimate.go
+++ b/internal/models/choice/estimate.go
@@ -17,6 +17,8 @@
 	// statement takes up a slot; both are 0 if unknown.
 	answer  time.Duration
 	service time.Duration
+	// errors is the share of errors among its answers.
+	errors float64
 	// unproven says that it may look idle without being able to take load.
 	unproven bool
 	// cost is what it costs beyond the time that it takes.
@@ -60,7 +62,7 @@
 		}
 		e.informed = e.informed || x.trust > 0
 		e.lowest = min(e.lowest, x.cost)
-		e.fewest = min(e.fewest, list[i].Errors)
+		e.fewest = min(e.fewest, x.errors)
 		if list[i].Latency > 0 && list[i].LatencyAge < maxAge {
 			e.quickest = min(e.quickest, list[i].Latency)
 		}
@@ -80,6 +82,10 @@
 	if c.Primary {
 		x.cost += primaryCost
 	}
+	x.errors = c.Errors
+	if c.Failing {
+		x.errors = max(x.errors, failingErrors)
+	}
 	started := c.StartedMs
 	for _, r := range c.Reports {
 		started = max(started, r.StartedMs)
@@ -151,16 +157,17 @@
 
 // wait is the time for which one more statement is expected to wait for a slot. Where no
 // report tells, it is the time by which the instance answers this host later than
-// another does.
+// another does. Errors beyond those of the others count as the time of another try.
 func (e *estimates) wait(i int) time.Duration {
 	c := &e.list[i]
 	x := &e.each[i]
+	retry := time.Duration((x.errors - e.fewest) * float64(errorCost))
 	if x.trust == 0 && c.Latency > 0 && c.LatencyAge < maxAge {
 		age := 1 - c.LatencyAge.Seconds()/maxAge.Seconds()
-		return time.Duration(age * float64(c.Latency-e.quickest))
+		return retry + time.Duration(age*float64(c.Latency-e.quickest))
 	}
 	queued := max(0, x.load+1-e.slots(i))
-	return time.Duration(queued / e.slots(i) * float64(e.service))
+	return retry + time.Duration(queued/e.slots(i)*float64(e.service))
 }
 
 // expected is the cost of one more statement, by which the candidates after the first
@@ -175,7 +182,7 @@
 
 // capacity is the part of a candidate's slots that it can be given.
 func (e *estimates) capacity(i int) float64 {
-	n := e.slots(i) * max(0, 1-(e.list[i].Errors-e.fewest))
+	n := e.slots(i) * (1 - (e.each[i].errors - e.fewest))
 	if e.each[i].unproven {
 		n *= unprovenShare
 	}
@@ -200,7 +207,7 @@
 		n := e.capacity(i)
 		capacity += n
 		backlog += n * e.backlog(i).Seconds()
-		if wait := e.wait(i); n > 0 && (shortest < 0 || wait < shortest) {
+		if wait := e.wait(i); shortest < 0 || wait < shortest {
 			shortest = wait
 		}
 	}
@@ -208,15 +215,12 @@
 	var sum float64
 	for i := range e.list {
 		horizon := (e.each[i].age + settleTime).Seconds()
-		switch {
-		case capacity == 0:
-			shares[i] = e.capacity(i)
-		case e.preferred(i):
-			excess := e.backlog(i).Seconds() - backlog/capacity
-			shares[i] = e.capacity(i) * max(0, 1-gain*excess/horizon)
-		default:
+		if !e.preferred(i) {
 			saved := (shortest - e.wait(i) - e.each[i].cost + e.lowest).Seconds()
 			shares[i] = e.capacity(i) * max(0, overflowGain*saved/horizon)
+		} else if capacity > 0 {
+			excess := e.backlog(i).Seconds() - backlog/capacity
+			shares[i] = e.capacity(i) * max(0, 1-gain*excess/horizon)
 		}
 		sum += shares[i]
 	}
--- a/internal/models/choice/sim_test.go
+++ b/internal/models/choice/sim_test.go
@@ -71,6 +71,9 @@
 	centres bool
 	// slow says that the first instance takes twice as long for a statement.
 	slow bool
+	// blind says that the loads are sampled only at the end of each interval of the
+	// policy blind.
+	blind bool
 }
 
 // world is instances with exponential service times and a queue each, and hosts that
@@ -163,7 +166,7 @@
 				loads[i] = len(q)
 			}
 			w.history = append(w.history, loads)
-			if tick > warmUp {
+			if tick > warmUp && (!s.blind || tick%blindInterval == blindInterval-sample) {
 				r.longest = append(r.longest, slices.Max(loads))
 			}
 		case len(w.running) > 0 && w.running[0].at < next:
@@ -271,6 +274,19 @@
 	return order[0]
 }
 
+const blindInterval = 600 * time.Millisecond
+
+// blind chooses with fresh information, and for the last part of each interval, which is
+// as long as the staleness, by own statements in flight alone. What then stands at the
+// busiest instance is the least that can be reached with information of that age, if
+// hosts choose independently of each other.
+func blind(w *world, c *chooser) int {
+	if w.now%blindInterval < blindInterval-w.staleness {
+		return fresh(w, c)
+	}
+	return alternatives["own in flight"](w, c)
+}
+
 // alternatives are choices that were considered; see docs/design/balancing.md.
 var alternatives = map[string]policy{
 	"random": func(w *world, _ *chooser) int { return w.rng.IntN(len(w.queues)) },
@@ -329,6 +345,11 @@
 	forScenes(t, scenes, func(t *testing.T, s scene) {
 		r, ideal, former := play(even, s), play(fresh, s), play(today, s)
 		t.Logf("p99 at the busiest: fresh %d, even %d, least-cost %d", ideal.p99(), r.p99(), former.p99())
+		if testing.Verbose() {
+			s.blind = true
+			s.length = 300 * time.Second / time.Duration(s.instances/3)
+			t.Logf("least that can be reached: %d", play(blind, s).p99())
+		}
 		t.Run("twice the queue with fresh information", func(t *testing.T) {
 			is.New(t).True(r.p99() <= 2*ideal.p99())
 		})
