Teach the fault soak the usage reports

Faults of the platform's API have a random sequence of their own, so that the other faults of a seed stay.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -83,6 +83,7 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "host: %s\ndata-centre: %s\nseeds: \"\"\ngrace: 3s\nmemory-mb: 284\nfiles: 4200\n", p.name, centreName(i))
 	fmt.Fprintf(&text, "rate-window: 5s\nrate-overage: 0.1\nrate-tolerance: 20\nstore-address: %s\norder-address: %s\n", relayAddress, s.promotionAddress)
+	fmt.Fprintf(&text, "report-window: 1s\nusage-delay: 3s\nusage-tolerance: 0.05\nlease-duration: %s\n", leaseDuration)
 	ip, claim, err := claimIP()
 	if err != nil {
 		return err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -16,6 +16,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"wasabislip.example/wasabislip/internal/standin/bills"
 	"wasabislip.example/wasabislip/internal/standin/linedb"
 	"wasabislip.example/wasabislip/internal/standin/netem"
 	"wasabislip.example/wasabislip/internal/standin/rowsrv"
@@ -35,6 +36,8 @@
 	// rate is the rate and the burst of each workspace, above what the callers
 	// send.
 	rate = 2000
+	// leaseDuration is the lease of the host that reports usage.
+	leaseDuration = 3 * time.Second
 )
 
 // Soak is one run. Its fields are set before Run.
@@ -57,6 +60,7 @@
 
 	rng              *rand.Rand
 	store            *rowsrv.Store
+	bills            *bills.Bills
 	group            *linedb.Group
 	instanceRelays   []*netem.Relay // one for each instance, shared by all hosts
 	hosts            []*process
@@ -124,7 +128,12 @@
 		Slots:         3,
 		Connections:   40,
 	}
-	address, err := s.startServer(s.group)
+	s.bills = bills.New(leaseDuration)
+	s.bills.SetFault(s.usageFault())
+	orders := http.NewServeMux()
+	orders.Handle("/usage", s.bills)
+	orders.Handle("/", s.group)
+	address, err := s.startServer(orders)
 	if err != nil {
 		return err
 	}
@@ -138,6 +147,15 @@
 	return nil
 }
 
+// usageFault returns the faults of the calls that report usage. They have a sequence of
+// their own, which leaves the other faults of a seed as they are.
+func (s *Soak) usageFault() func() string {
+	rng := rand.New(rand.NewPCG(s.Seed, 1))
+	return func() string {
+		return []string{bills.Busy, bills.Silent, bills.Slow, bills.AnswerLost, "", "", "", ""}[rng.IntN(8)]
+	}
+}
+
 // startServer serves h on a free port until the run ends.
 func (s *Soak) startServer(h http.Handler) (address string, err error) {
 	l, err := listen()
@@ -295,7 +313,11 @@
 	for _, problem := range s.group.SupersededWrites() {
 		s.checker.addProblem("%s", problem)
 	}
+	for _, problem := range s.bills.Violations() {
+		s.checker.addProblem("usage reports: %s", problem)
+	}
 	s.logf("promotion orders: %v", s.group.PromotionOrders())
+	s.logf("usage reports: %d windows, %d calls", len(s.bills.Reports()), s.bills.Calls())
 	s.logf("seed %d: %s", s.Seed, s.checker.summary())
 	if err := s.checker.err(); err != nil {
 		return fmt.Errorf("seed %d: %w (settings and logs in %s)", s.Seed, err, s.Dir)
