--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -310,11 +310,33 @@
 	})
 }
 
+// registerProbeGauges adds the metrics of what grows with hosts and databases if this host
+// does more than its part: requests to instances, and lists of hosts.
+func (h *Host) registerProbeGauges(p *probe.Prober) {
+	h.stats.AddGauge("instance_probes", "Requests for the status of instances and commands to them since the start.", func() float64 {
+		queries, _, _ := p.Counts()
+		return float64(queries)
+	})
+	h.stats.AddGauge("instance_probe_connections", "Connections opened to probe instances since the start.", func() float64 {
+		_, dials, _ := p.Counts()
+		return float64(dials)
+	})
+	h.stats.AddGauge("instance_probes_refused", "Connections to probe instances that these refused since the start.", func() float64 {
+		_, _, refused := p.Counts()
+		return float64(refused)
+	})
+	h.stats.AddGauge("host_lists", "Lists of all hosts that other hosts sent since the start. In a fleet of 16 hosts or more it is one in 10 s while no host comes or goes.", func() float64 {
+		return float64(h.gossip.CountLists())
+	})
+}
+
 // Run serves callers until ctx ends, and then stops; see stop.
 func (h *Host) Run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(h.Settings.MemoryMB) * heapFraction * (1 << 20)))
 	h.build()
+	prober := probe.New(h.InstanceDialer, h.mirror)
+	h.registerProbeGauges(prober)
 	klog.InfoS("start", "host", h.Settings.Host, "data-centre", h.Settings.DataCentre, "callers", h.Settings.CallerAddress)
 	listeners, err := h.listen()
 	if err != nil {
@@ -329,7 +351,6 @@
 	wg.Go(func() { guard.Keep(background, "registrar", h.registrar.Run) })
 	wg.Go(func() { guard.Keep(background, "pools", h.pools.Run) })
 	wg.Go(func() { guard.Keep(background, "shares", h.updateShares) })
-	prober := probe.New(h.InstanceDialer, h.mirror)
 	wg.Go(func() {
 		guard.Keep(background, "poller", poller.New(h.mirror, h.views, h.gossip, prober).Run)
 	})
--- a/internal/services/gossip/beats.go
+++ b/internal/services/gossip/beats.go
@@ -150,6 +150,14 @@
 	defer g.mu.Unlock()
 	g.listNeeded = false
 	g.lastList = uptime.Now()
+	g.lists++
+}
+
+// CountLists returns how many lists of hosts this host has got since its start.
+func (g *Gossip) CountLists() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lists
 }
 
 // findBeats returns the table with beats, or that asks for them; nil without one.
--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -121,10 +121,11 @@
 	// packedTables are rows of tables that were sent lately.
 	packedTables packedTables
 	// marks are the other hosts by the marks of their reports. listNeeded says that a
-	// beat could not be assigned to one, and lastList is when the list of hosts last
-	// came.
+	// beat could not be assigned to one, lastList is when the list of hosts last came,
+	// and lists how often it did.
 	marks      map[uint64]*peer
 	listNeeded bool
+	lists      int64
 	// beats caches the answers' beats.
 	beats    *liveBeats
 	lastList time.Duration
--- a/internal/services/probe/probe.go
+++ b/internal/services/probe/probe.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wasabislip.example/wasabislip/internal/models/policy"
@@ -39,6 +40,10 @@
 	dialer   dialer
 	policies policies
 
+	queries atomic.Int64
+	dials   atomic.Int64
+	refused atomic.Int64
+
 	mu    sync.Mutex
 	conns map[string]*conn
 }
@@ -60,6 +65,12 @@
 	}
 }
 
+// Counts returns how many requests were sent to instances since the start, how many
+// connections were opened for them, and how many of these the instances refused.
+func (p *Prober) Counts() (queries, dials, refused int64) {
+	return p.queries.Load(), p.dials.Load(), p.refused.Load()
+}
+
 // Status asks an instance for its report. With an outcome other than Done the
 // instance answered without a report.
 func (p *Prober) Status(ctx context.Context, s server.Server) (report.Report, int, error) {
@@ -108,6 +119,7 @@
 	deadline, _ := ctx.Deadline()
 	_ = c.link.SetReadDeadline(deadline) // an error shows at the next read
 	_ = c.link.SetWriteDeadline(deadline)
+	p.queries.Add(1)
 	r, answer, err := request(c.link)
 	if err != nil {
 		c.close()
@@ -137,6 +149,7 @@
 		return reply.Done, nil
 	}
 	c.close()
+	p.dials.Add(1)
 	l, err := p.dialer.Dial(ctx, s.Address)
 	if err != nil {
 		return 0, err
@@ -150,6 +163,7 @@
 		return reply.Done, nil
 	}
 	_ = l.Close()
+	p.refused.Add(1)
 	if err == nil && r.Outcome != reply.TooManyConnections {
 		err = fmt.Errorf("instance %s refused the session: %s", s.ID, r.Message)
 	}
