Take the window counter of rates out again

A home counted what other hosts may have admitted by their parts far too high: 5,068 operations in 5 s of a workspace with a rate of 867 that asked for 805 a second at the home. It adds up each rise of a demand that fluctuates, and takes the larger of two averages for what hosts will ask for.

--- a/internal/modules/stats/stats.go
+++ b/internal/modules/stats/stats.go
@@ -28,7 +28,6 @@
 	answers              *prometheus.CounterVec
 	refusals             *prometheus.CounterVec
 	reads                *prometheus.CounterVec
-	rateRefusals         *prometheus.HistogramVec
 	choices              *prometheus.CounterVec
 	droppedLoads         prometheus.Counter
 	answerSeconds        prometheus.Histogram
@@ -54,12 +53,6 @@
 			Name:      "reads_total",
 			Help:      "Reads outside of transactions, by the role of the instance that ran them.",
 		}, []string{"role"}),
-		rateRefusals: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: namespace,
-			Name:      "rate_refusal_window_used",
-			Help:      "Operations refused for their rate, by the limit that decided and the fraction of the window's allowance that was used.",
-			Buckets:   []float64{0.25, 0.5, 0.75, 0.9, 1},
-		}, []string{"limit"}),
 		answerSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace,
 			Name:      "answer_seconds",
@@ -84,7 +77,7 @@
 		Help:      "Load reports that were dropped as implausible.",
 	})
 	s.registry.MustRegister(s.choices, s.droppedLoads)
-	s.registry.MustRegister(s.answers, s.refusals, s.reads, s.rateRefusals, s.answerSeconds, s.primaryChangeSeconds)
+	s.registry.MustRegister(s.answers, s.refusals, s.reads, s.answerSeconds, s.primaryChangeSeconds)
 	s.registry.MustRegister(collectors.NewGoCollector())
 	return s
 }
@@ -100,12 +93,6 @@
 	s.refusals.WithLabelValues(reason).Inc()
 }
 
-// RecordRateRefusal counts an operation that was refused for its rate; limit is what
-// decided, and used the fraction of the window's allowance that was used.
-func (s *Stats) RecordRateRefusal(limit string, used float64) {
-	s.rateRefusals.WithLabelValues(limit).Observe(used)
-}
-
 // RecordRead counts a read outside of a transaction.
 func (s *Stats) RecordRead(replica bool) {
 	role := "primary"
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -77,10 +76,6 @@
 	headerTimeout = 5 * time.Second
 )
 
-// errNotHome is the error of a question to a host that is not the home of the
-// workspace's rate, as far as it knows.
-var errNotHome = errors.New("the host is not the home of the workspace's rate")
-
 // store is the platform's store. Watch returns the rows that changed after a
 // version; it waits for a change for at most wait. Write fails unless the rows in
 // expected are unchanged.
@@ -229,9 +224,6 @@
 		PermitRequest: request,
 		Deadline:      time.Now().Add(homeTimeout),
 	})
-	if err == nil && r.Outcome == reply.WrongServer {
-		return false, 0, "", errNotHome
-	}
 	if r.Outcome != reply.Done {
 		return false, r.RetryAfter, r.Message, err
 	}
@@ -279,12 +271,6 @@
 		Overage:   h.Settings.RateOverage,
 		Tolerance: h.Settings.RateTolerance,
 	}
-	h.rates.ReportAge = func(other host.Host) time.Duration {
-		return h.gossip.ReportAge(other.Name)
-	}
-	h.rates.LateDemands = func(version uint64, age time.Duration) [][]byte {
-		return h.gossip.LateDemands(version, age)
-	}
 	h.gossip = gossip.New(self, h.Settings.SeedList(), h.mirror, h.views, h.rates, h.Network.Dial)
 	rank.gossip = h.gossip
 	h.registrar = enroll.New(self, h.mirror, h.Store, h.gossip)
@@ -293,7 +279,6 @@
 	h.forwarder = forwd.New(self, h.gossip, h.mirror, h.pools, h.Network.Dial)
 	h.tasks = tasks.New(h.mirror, h.pools, h.rates)
 	h.requestLog = reqlog.New()
-	h.rates.Meter = h.stats
 	h.registerGauges()
 	if h.Settings.InstanceChoice == conf.Even {
 		h.pools.ReportLoad()
--- a/internal/routers/edge/stop.go
+++ b/internal/routers/edge/stop.go
@@ -43,7 +43,6 @@
 	klog.InfoS("stopping", "host", h.Settings.Host, "callers", n, "grace", h.Settings.GracePeriod.String())
 	h.gossip.Stop()
 	h.usage.leave(ctx)
-	h.forwarder.Leave()
 	began := time.Now()
 	at := func(fraction float64) time.Time {
 		return began.Add(time.Duration(fraction * float64(h.Settings.GracePeriod)))
--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -62,8 +62,7 @@
 	Pool(s server.Server) *conns.Pool
 }
 
-// rates holds the token buckets of the workspaces whose home this host is. Grant returns
-// no reason if this host is not the home.
+// rates holds the token buckets of the workspaces whose home this host is.
 type rates interface {
 	Grant(workspace string, request permit.Request) (ok bool, after time.Duration, why string)
 }
@@ -249,11 +248,6 @@
 			StartAfter: after,
 		}, nil
 	}
-	if why == "" {
-		return reply.Reply{
-			Outcome: reply.WrongServer,
-		}, nil
-	}
 	return reply.Reply{
 		Outcome:    reply.Busy,
 		Message:    why,
--- a/internal/services/forwd/forwd.go
+++ b/internal/services/forwd/forwd.go
@@ -77,8 +77,6 @@
 	// them by workspace; an entry without a name is this host.
 	hosts []host.Host
 	homes map[string]host.Host
-	// leaving tells that this host stops.
-	leaving bool
 	// placements are the holders of connections among the live hosts.
 	placements map[placementKey]*holder.Placement
 }
@@ -230,15 +228,6 @@
 	return list
 }
 
-// Leave stops this host from being the home of a rate while other hosts can be. The
-// others choose another home once they hear that it stops.
-func (f *Forwarder) Leave() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.leaving = true
-	clear(f.homes)
-}
-
 // Home returns the home of a workspace's rate: the host that owns its token
 // bucket. It returns false when that is this host. Hosts that see the same other
 // hosts as alive choose the same home.
@@ -251,9 +240,6 @@
 		return best, best.Name != ""
 	}
 	most := rendezvousWeight("rate", workspace, f.self.Name)
-	if f.leaving {
-		most = 0
-	}
 	for _, other := range alive {
 		if other.State != host.Alive || other.RunAddress == "" {
 			continue
--- a/internal/services/gossip/beats.go
+++ b/internal/services/gossip/beats.go
@@ -44,9 +44,7 @@
 )
 
 // markOf returns the hash of what a report says, but for its sequence, its age, its time
-// of day, the version that the host has applied, of which it has the era, and the demands
-// of its callers. Those change all the time; other hosts need fresh ones only of a host
-// that goes by its own part of a rate, whose demands on its parts are in the hash.
+// of day and the version that the host has applied, of which it has the era.
 func markOf(r *wasabislipv1.HostReport) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -72,8 +70,7 @@
 	text(r.GetUnreachable()...)
 	number(&d, uint64(len(r.GetUnfinished())))
 	text(r.GetUnfinished()...)
-	demands := r.GetDemands()
-	_, _ = d.Write(demands[len(demands)/2:])
+	_, _ = d.Write(r.GetDemands())
 	return d.Sum64()
 }
 
--- a/internal/services/gossip/hosts.go
+++ b/internal/services/gossip/hosts.go
@@ -54,18 +54,6 @@
 	return oldest
 }
 
-// ReportAge returns the age of the last report of a host; that of a host which was
-// never heard of is the time since the start.
-func (g *Gossip) ReportAge(name string) time.Duration {
-	now := uptime.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if p := g.hosts[name]; p != nil {
-		return now - p.lastHeard
-	}
-	return now - g.started
-}
-
 // FleetVersion returns the version of the fleet table, which holds the records of
 // the primaries, that a host last reported to have applied; 0 if it never
 // reported.
@@ -158,22 +146,6 @@
 	return list
 }
 
-// LateDemands returns the demands, like PeerDemands, of the live hosts whose last report
-// is older than age.
-func (g *Gossip) LateDemands(version uint64, age time.Duration) [][]byte {
-	now := uptime.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var list [][]byte
-	for _, p := range g.hosts {
-		silent := now - p.lastHeard
-		if silent > age && silent < aliveTimeout && p.report.GetDemandsVersion() == version {
-			list = append(list, p.report.GetDemands())
-		}
-	}
-	return list
-}
-
 // Rank returns how many live hosts rank before this one for a duty by rendezvous
 // hashing: the host of rank 0 comes first.
 func (g *Gossip) Rank(duty string) int {
