--- a/internal/services/gossip/partner.go
+++ b/internal/services/gossip/partner.go
@@ -1,8 +1,10 @@
 package gossip
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/pkg/model/host"
@@ -17,6 +19,12 @@
 	// that reads the store. The rest go to random hosts, so that state still
 	// reaches every host when a hub fails.
 	upstreamFraction = 0.85
+	// localPartners and farPartners are the numbers of hosts of the data centre and of
+	// all for exchanges with random hosts within detourPeriod, which is that after
+	// which idle connections are closed.
+	localPartners = 6
+	farPartners   = 6
+	detourPeriod  = time.Minute
 	// hubsPerDataCentre is the number of hosts in each data centre that pass
 	// the readers' state on to the others there.
 	hubsPerDataCentre = 2
@@ -43,7 +51,18 @@
 	if up := t.upstream(g.self.Name, usable); len(up) > 0 && rand.Float64() < upstreamFraction {
 		return up[rand.IntN(len(up))], true, true
 	}
-	return g.pickRandom(usable, localFraction), false, true
+	return g.pickRandom(g.detourPartners(usable), localFraction), false, true
+}
+
+// detourPartners returns the hosts with which this host of a large fleet exchanges at
+// random: some of its data centre and some of all, others each detourPeriod. With all
+// hosts in turn it would open a connection for nearly each exchange, since one that is
+// used once in minutes is closed in between.
+func (g *Gossip) detourPartners(usable []host.Host) []host.Host {
+	duty := fmt.Sprintf("detour/%s/%d", g.self.Name, uptime.Now()/detourPeriod)
+	ranked := sortByRank(usable, duty)
+	local := first(inCentre(ranked, g.self.DataCentre), localPartners)
+	return append(slices.Clone(first(ranked, farPartners)), local...)
 }
 
 // skipAvoided leaves out hosts that did not answer lately, or returns them all
