--- a/internal/services/failov/failov.go
+++ b/internal/services/failov/failov.go
@@ -102,6 +102,7 @@
 	Alive() []host.Host
 	Rank(duty string) int
 	IsAmong(duty string, n int) bool
+	RankingVersion() uint64
 	FleetVersion(name string) uint64
 	CountUnreachable(service string) (hosts, failing int)
 	CountOpenTransactions(service string) int
@@ -152,6 +153,9 @@
 	// nextCheck when a host that is not among the first is to check it.
 	duty      string
 	nextCheck time.Duration
+	// near says that this host is among the first, as of a version of the ranking.
+	near    bool
+	ranking uint64
 	// running is closed when the failover under way has ended; nil without one.
 	running     chan struct{}
 	cause       cause
@@ -196,6 +200,7 @@
 	if f.Directory.Age(f.FleetTable) > maxTableAge {
 		f.partitioned = now
 	}
+	ranking := f.Hosts.RankingVersion()
 	for _, service := range f.Directory.Services() {
 		state, ok := f.services[service]
 		if !ok {
@@ -213,7 +218,11 @@
 				continue
 			}
 		}
-		if now < state.nextCheck && !f.Hosts.IsAmong(state.duty, nearRanks) {
+		if state.ranking != ranking {
+			state.near = f.Hosts.IsAmong(state.duty, nearRanks)
+			state.ranking = ranking
+		}
+		if now < state.nextCheck && !state.near {
 			continue
 		}
 		state.nextCheck = now + farInterval/2 + rand.N(farInterval/2)
--- a/internal/services/failov/world_test.go
+++ b/internal/services/failov/world_test.go
@@ -408,6 +408,7 @@
 // What follows is the fleet.
 
 func (w *world) Alive() []host.Host                      { return nil }
+func (w *world) RankingVersion() uint64                  { return 1 }
 func (w *world) Rank(string) int                         { return 0 }
 func (w *world) IsAmong(string, int) bool                { return true }
 func (w *world) CountUnreachable(string) (int, int)      { return 0, 0 }
--- a/internal/services/gossip/gossip.go
+++ b/internal/services/gossip/gossip.go
@@ -134,11 +134,12 @@
 	// hostsChanged says that a host came, went, restarted or stopped.
 	hostsChanged bool
 
-	// topologyMu guards cached and its ranks, and the number of known hosts and since
-	// when it is the same. It is taken before mu.
+	// topologyMu guards cached and its ranks, the number of known hosts and since when it
+	// is the same, and how often the topology was built from the hosts. It is taken before mu.
 	topologyMu sync.Mutex
 	cached     *topology
 	knownCount int
+	rankings   uint64
 	knownSince time.Duration
 }
 
--- a/internal/services/gossip/hosts.go
+++ b/internal/services/gossip/hosts.go
@@ -166,6 +166,11 @@
 	return rank
 }
 
+// RankingVersion returns a number that changes when IsAmong and Rank may change.
+func (g *Gossip) RankingVersion() uint64 {
+	return g.topology().version
+}
+
 // IsAmong reports whether this host is among the first n live hosts for a duty: its
 // Rank is less than n. It stops at the first n hosts that rank before this one, so that
 // asking for each of many services costs little when hosts have come or gone.
--- a/internal/services/gossip/topol.go
+++ b/internal/services/gossip/topol.go
@@ -19,6 +19,8 @@
 // Gossip's topology guards.
 type topology struct {
 	at time.Duration
+	// version is the version of ranked.
+	version uint64
 	// settled says that it was built after settleTime.
 	settled bool
 	// registrations is the digest of the fleet table at that time.
@@ -78,8 +80,10 @@
 		g.knownCount = len(known)
 		g.knownSince = now
 	}
+	g.rankings++
 	t := &topology{
 		at:            now,
+		version:       g.rankings,
 		settled:       now-g.started >= settleTime,
 		registrations: registrations,
 		alive:         alive,
--- a/internal/services/poller/poller.go
+++ b/internal/services/poller/poller.go
@@ -72,6 +72,7 @@
 type fleet interface {
 	Rank(duty string) int
 	IsAmong(duty string, n int) bool
+	RankingVersion() uint64
 	KnowsFleet() bool
 	AskFirst(ctx context.Context, duty string, n int)
 	PushNow()
@@ -93,8 +94,11 @@
 	// duty is the name under which hosts are ranked for polling the primary: that for
 	// replacing it, so that those who may replace it notice that it fails.
 	duty string
-	// polling says that a poll is under way. The other fields belong to the poll
-	// until it ends.
+	// polls says that this host is one of the pollers, as of a version of the ranking.
+	polls   bool
+	ranking uint64
+	// polling says that a poll is under way. The fields after it belong to the
+	// poll until it ends.
 	polling atomic.Bool
 	// nextPoll is when the primary may be polled again, after the present pause.
 	nextPoll time.Duration
@@ -141,6 +145,7 @@
 		return
 	}
 	now := uptime.Now()
+	ranking := p.hosts.RankingVersion()
 	list := p.directory.Services()
 	first := 0
 	if len(list) > 0 {
@@ -155,7 +160,11 @@
 			}
 			p.services[service] = state
 		}
-		if state.polling.Load() || now < state.nextPoll || !p.hosts.IsAmong(state.duty, maxPollers) {
+		if state.ranking != ranking {
+			state.polls = p.hosts.IsAmong(state.duty, maxPollers)
+			state.ranking = ranking
+		}
+		if !state.polls || state.polling.Load() || now < state.nextPoll {
 			continue
 		}
 		v := p.views.View(service)
--- a/internal/services/poller/poller_test.go
+++ b/internal/services/poller/poller_test.go
@@ -269,6 +269,7 @@
 func (w *world) Evacuated(string) bool     { return false }
 func (w *world) AsOf(string) time.Duration { return 0 }
 func (w *world) LeasesAsOf() time.Duration { return 1 } // the only copy is from long ago
+func (w *world) RankingVersion() uint64    { return 1 }
 func (w *world) Rank(string) int           { return 0 }
 func (w *world) IsAmong(string, int) bool  { return true }
 
