--- a/internal/services/views/views_test.go
+++ b/internal/services/views/views_test.go
@@ -25,12 +25,14 @@
 	renewed time.Duration
 }
 
-func (t *tables) Servers(string) []server.Server                    { return nil }
-func (t *tables) Server(string) (server.Server, bool)               { return server.Server{}, false }
-func (t *tables) Missing(string) bool                               { return false }
-func (t *tables) Evacuated(string) bool                             { return false }
-func (t *tables) AsOf(string) time.Duration                         { return uptime.Now() - t.renewed }
-func (t *tables) LeasesAsOf() time.Duration                         { return uptime.Now() - t.renewed }
+func (t *tables) Servers(string) []server.Server      { return nil }
+func (t *tables) Server(string) (server.Server, bool) { return server.Server{}, false }
+func (t *tables) Missing(string) bool                 { return false }
+func (t *tables) Evacuated(string) bool               { return false }
+func (t *tables) AsOf(string) time.Duration           { return uptime.Now() - t.renewed }
+
+func (t *tables) LeasesAsOf() time.Duration { return uptime.Now() - t.renewed }
+
 func (t *tables) Registered() (since, until time.Duration, ok bool) { return 0, math.MaxInt64, true }
 
 func (t *tables) Leader(string) (l leader.Leader, version uint64, ok bool) {
