--- a/internal/modules/conf/usage_test.go
+++ b/internal/modules/conf/usage_test.go
@@ -21,7 +21,7 @@
 }
 
 var (
-	section = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
+	section = regexp.MustCompile(`(?s)\{\{([#^])([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
 	value   = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
 )
 
@@ -35,10 +35,10 @@
 	}
 	text := section.ReplaceAllStringFunc(string(template), func(s string) string {
 		m := section.FindStringSubmatch(s)
-		if _, ok := with[m[1]]; !ok {
+		if _, ok := with[m[2]]; ok != (m[1] == "#") {
 			return ""
 		}
-		return strings.ReplaceAll(m[2], "{{.}}", with[m[1]])
+		return strings.ReplaceAll(m[3], "{{.}}", with[m[2]])
 	})
 	return value.ReplaceAllStringFunc(text, func(s string) string {
 		name := value.FindStringSubmatch(s)[1]
@@ -75,6 +75,7 @@
 	is.Equal(s.UsageTolerance, 0.05)
 	is.Equal(s.LeaseDuration, 3*time.Second)
 	for _, with := range []map[string]string{{}, without("report_window_s", "usage_delay_s", "usage_tolerance")} {
+		with["contract_params.warmup_overage"] = "1.5" // leaves out instance-choice
 		text := render(t, with)
 		is.True(strings.HasSuffix(text, "\nfiles: 5000\n"))
 		s, err := conf.Read("settings", []byte(text))
