--- a/internal/models/duty/duty.go
+++ b/internal/models/duty/duty.go
@@ -209,11 +209,12 @@
 }
 
 // dueWindows returns the windows whose content is due to become final; none if first is
-// above last. They become final in order. Those whose counts are not kept any more
-// are skipped.
+// above last. They become final in order. Those whose counts are not kept any more are
+// skipped, and those that ended before any host that lives now began to count: after the
+// loss of all hosts a report would say that nothing ran in them.
 func dueWindows(in *Input) (first, last uint64) {
 	current := in.Params.At(in.Time)
-	first = in.Hold.Record.Final + 1
+	first = max(in.Hold.Record.Final+1, in.First)
 	if current > usage.KeptWindows {
 		first = max(first, current-usage.KeptWindows)
 	}
