--- a/internal/routers/edge/usage.go
+++ b/internal/routers/edge/usage.go
@@ -10,7 +10,7 @@
 	"wasabislip.example/wasabislip/internal/models/usage"
 	"wasabislip.example/wasabislip/internal/modules/count"
 	"wasabislip.example/wasabislip/internal/modules/guard"
-	"wasabislip.example/wasabislip/internal/services/billing"
+	"wasabislip.example/wasabislip/internal/services/bill"
 	"wasabislip.example/wasabislip/internal/services/counts"
 	"wasabislip.example/wasabislip/internal/services/wall"
 	"wasabislip.example/wasabislip/pkg/model/host"
@@ -18,7 +18,7 @@
 
 // usageReports are the parts of a host that report usage. A nil one does nothing.
 type usageReports struct {
-	reporter *billing.Reporter
+	reporter *bill.Reporter
 	sender   *counts.Sender
 }
 
@@ -45,7 +45,7 @@
 		Directory: h.mirror,
 		Caller:    h.forwarder,
 	}
-	reporter := &billing.Reporter{
+	reporter := &bill.Reporter{
 		Self:      self,
 		Params:    params,
 		Clock:     clock,
@@ -104,26 +104,26 @@
 }
 
 // registerUsageGauges adds the metrics of the usage reports.
-func (h *Host) registerUsageGauges(r *billing.Reporter) {
+func (h *Host) registerUsageGauges(r *bill.Reporter) {
 	for _, g := range []struct {
 		name, help string
-		value      func(s billing.Stats) float64
+		value      func(s bill.Stats) float64
 	}{
-		{name: "usage_holder", help: "1 if this host sends the usage reports.", value: func(s billing.Stats) float64 {
+		{name: "usage_holder", help: "1 if this host sends the usage reports.", value: func(s bill.Stats) float64 {
 			if s.Holder {
 				return 1
 			}
 			return 0
 		}},
-		{name: "usage_windows_finalized", help: "Windows whose counts this host made final.", value: func(s billing.Stats) float64 { return float64(s.Finalized) }},
-		{name: "usage_windows_delivered", help: "Usage reports that the platform took from this host.", value: func(s billing.Stats) float64 { return float64(s.Delivered) }},
-		{name: "usage_windows_late", help: "Usage reports that this host delivered after the usage delay.", value: func(s billing.Stats) float64 { return float64(s.Late) }},
-		{name: "usage_windows_missed", help: "Windows that this host found too old to report.", value: func(s billing.Stats) float64 { return float64(s.Missed) }},
-		{name: "usage_windows_refused", help: "Usage reports that the platform refused for good.", value: func(s billing.Stats) float64 { return float64(s.Refused) }},
-		{name: "usage_takeovers", help: "Times that this host began to send the usage reports.", value: func(s billing.Stats) float64 { return float64(s.Takeovers) }},
-		{name: "usage_delay_seconds", help: "Time from a window's end to the delivery of its report, for the last one.", value: func(s billing.Stats) float64 { return s.Delay.Seconds() }},
-		{name: "usage_hosts_missing", help: "Live hosts without all counts when the last window became final.", value: func(s billing.Stats) float64 { return float64(s.MissingHosts) }},
-		{name: "usage_counts_dropped", help: "Counts of a host and window that came after the window was final.", value: func(s billing.Stats) float64 { return float64(s.Dropped) }},
+		{name: "usage_windows_finalized", help: "Windows whose counts this host made final.", value: func(s bill.Stats) float64 { return float64(s.Finalized) }},
+		{name: "usage_windows_delivered", help: "Usage reports that the platform took from this host.", value: func(s bill.Stats) float64 { return float64(s.Delivered) }},
+		{name: "usage_windows_late", help: "Usage reports that this host delivered after the usage delay.", value: func(s bill.Stats) float64 { return float64(s.Late) }},
+		{name: "usage_windows_missed", help: "Windows that this host found too old to report.", value: func(s bill.Stats) float64 { return float64(s.Missed) }},
+		{name: "usage_windows_refused", help: "Usage reports that the platform refused for good.", value: func(s bill.Stats) float64 { return float64(s.Refused) }},
+		{name: "usage_takeovers", help: "Times that this host began to send the usage reports.", value: func(s bill.Stats) float64 { return float64(s.Takeovers) }},
+		{name: "usage_delay_seconds", help: "Time from a window's end to the delivery of its report, for the last one.", value: func(s bill.Stats) float64 { return s.Delay.Seconds() }},
+		{name: "usage_hosts_missing", help: "Live hosts without all counts when the last window became final.", value: func(s bill.Stats) float64 { return float64(s.MissingHosts) }},
+		{name: "usage_counts_dropped", help: "Counts of a host and window that came after the window was final.", value: func(s bill.Stats) float64 { return float64(s.Dropped) }},
 	} {
 		h.stats.AddGauge(g.name, g.help, func() float64 {
 			return g.value(r.Stats())
--- a/internal/services/billing/billing_test.go
+++ b/internal/services/bill/bill_test.go
@@ -1,4 +1,4 @@
-package billing_test
+package bill_test
 
 import (
 	"flag"
@@ -17,7 +17,7 @@
 )
 
 // runTime is the length of a random schedule, after which the faults end.
-var runTime = flag.Duration("billing.time", 45*time.Second, "length of a random schedule")
+var runTime = flag.Duration("bill.time", 45*time.Second, "length of a random schedule")
 
 // event is what happens to one host, to the store or to the API. A negative host stands
 // for the holder.
--- a/internal/services/billing/world_test.go
+++ b/internal/services/bill/world_test.go
@@ -1,4 +1,4 @@
-package billing_test
+package bill_test
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"wasabislip.example/wasabislip/internal/models/tuple"
 	"wasabislip.example/wasabislip/internal/models/usage"
 	"wasabislip.example/wasabislip/internal/modules/uptime"
-	"wasabislip.example/wasabislip/internal/services/billing"
+	"wasabislip.example/wasabislip/internal/services/bill"
 	"wasabislip.example/wasabislip/internal/services/mirror"
 	"wasabislip.example/wasabislip/internal/standin/bills"
 	"wasabislip.example/wasabislip/internal/standin/memnet"
@@ -82,7 +82,7 @@
 	self     host.Host
 	skew     time.Duration
 	mirror   *mirror.Mirror
-	reporter *billing.Reporter
+	reporter *bill.Reporter
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -197,7 +197,7 @@
 	p.mirror = mirror.New(&lateSource{
 		gatedStore: store,
 	}, noDecoder{}, p, "op", "servers")
-	p.reporter = &billing.Reporter{
+	p.reporter = &bill.Reporter{
 		Self:      p.self,
 		Params:    w.params,
 		Clock:     p,
