Hold no mutex while counts are sent

A goroutine that waits for a mutex stops the paused time of a test, so that TestUsageReports hung once in some runs. A stop waited for the call as well.

--- a/internal/services/counts/counts.go
+++ b/internal/services/counts/counts.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -82,15 +83,20 @@
 	// Local takes the counts if this is the host that reports.
 	Local receiver
 
-	mu sync.Mutex
+	once sync.Once
+	// busy holds an element while a message is being sent, which takes a call to
+	// another host.
+	busy chan struct{}
 	// streams are to the holder and to the host that takes over from it, so that the
 	// counts of a host that is killed are not lost if the holder is killed too, or is
 	// that host.
 	streams [2]stream
 	// size is the size of the last message.
 	size int
+	// pause is the time between two messages now.
+	pause atomic.Int64
 	// leaving says that this host reports no more.
-	leaving bool
+	leaving atomic.Bool
 }
 
 // stream is what one process was told.
@@ -125,7 +131,7 @@
 		if now, ok := s.Clock.Now(); ok {
 			s.Counter.SetTime(now)
 		}
-		if time.Since(last) < s.interval()-tickInterval/2 {
+		if time.Since(last) < time.Duration(s.pause.Load())-tickInterval/2 {
 			continue
 		}
 		last = time.Now()
@@ -135,15 +141,11 @@
 
 // Leave makes another host the one that this host's counts are sent to.
 func (s *Sender) Leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving = true
+	s.leaving.Store(true)
 }
 
-// interval returns the time between two messages now.
+// interval returns the time between two messages.
 func (s *Sender) interval() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	interval := Interval(len(s.Hosts.Alive())+1, s.size)
 	if s.streams[0].failing {
 		return min(interval, callTimeout)
@@ -153,8 +155,14 @@
 
 // Send sends the counts that the host which reports, and the next one, do not have.
 func (s *Sender) Send(ctx context.Context) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.once.Do(func() {
+		s.busy = make(chan struct{}, 1)
+	})
+	s.busy <- struct{}{}
+	defer func() {
+		s.pause.Store(int64(s.interval()))
+		<-s.busy
+	}()
 	now, ok := s.Clock.Now()
 	if !ok {
 		return
@@ -206,7 +214,7 @@
 // findHolder returns the holder, or the host that ranks first while none is alive; a
 // host without a name stands for this one.
 func (s *Sender) findHolder(r usage.Record) host.Host {
-	if r.Holder == s.Self.Name && r.Incarnation == s.Self.Incarnation && !s.leaving {
+	if r.Holder == s.Self.Name && r.Incarnation == s.Self.Incarnation && !s.leaving.Load() {
 		return host.Host{}
 	}
 	for _, h := range s.Hosts.Alive() {
