--- a/internal/models/clock/clock.go
+++ b/internal/models/clock/clock.go
@@ -11,9 +11,9 @@
 // that is wrong has no effect.
 const quorum = 3
 
-// patience is how long a host that has just started waits for a quorum. Hosts hear of
+// quorumTimeout is how long a host that has just started waits for a quorum. Hosts hear of
 // each other within a second.
-const patience = 10 * time.Second
+const quorumTimeout = 10 * time.Second
 
 // Clock is the estimate of one host. The zero value knows no time. It is not safe for
 // concurrent use.
@@ -34,7 +34,7 @@
 		c.asked = now
 	}
 	all := append(slices.Clone(others), own)
-	if len(all) < min(quorum, hosts) && (c.known || now-c.asked < patience) {
+	if len(all) < min(quorum, hosts) && (c.known || now-c.asked < quorumTimeout) {
 		return c.offset, c.known
 	}
 	slices.Sort(all)
--- a/internal/models/sched/capacity.go
+++ b/internal/models/sched/capacity.go
@@ -65,16 +65,16 @@
 	slots float64
 	// urgent bounds the statements of level 0, which may queue inside the instance,
 	// and others all further ones.
-	urgent  valve
-	others  valve
+	urgent  limiter
+	others  limiter
 	limit   int
 	running int
 	// delay is how long statements queue inside the instance.
 	delay time.Duration
 }
 
-// valve bounds the statements that run at once.
-type valve struct {
+// limiter bounds the statements that run at once.
+type limiter struct {
 	// room is how many may run, from least to most. A room below one is kept by
 	// pauses between statements. share is the pool's share of the instance.
 	room  float64
@@ -87,7 +87,7 @@
 	decreased time.Duration
 }
 
-func (v *valve) resize(share, least, most float64) {
+func (v *limiter) resize(share, least, most float64) {
 	v.share = share
 	v.least = max(least, minRoom)
 	v.most = most
@@ -95,13 +95,13 @@
 }
 
 // allows reports whether a statement may start beside those that run.
-func (v *valve) allows(now time.Duration, running int) bool {
+func (v *limiter) allows(now time.Duration, running int) bool {
 	return running < max(1, int(v.room)) && (v.room >= 1 || now >= v.paused)
 }
 
 // adapt changes room after a statement that took about the time took, and found the
 // instance congested or not.
-func (v *valve) adapt(now, took time.Duration, running int, excess float64) {
+func (v *limiter) adapt(now, took time.Duration, running int, excess float64) {
 	congested := excess > 1
 	switch {
 	case !congested && (running >= int(v.room) || v.room < 1):
@@ -112,14 +112,14 @@
 	}
 }
 
-// end pauses the valve after a statement where room is below one.
-func (v *valve) end(now, took time.Duration) {
+// end pauses the limiter after a statement where room is below one.
+func (v *limiter) end(now, took time.Duration) {
 	if v.room < 1 {
 		v.paused = now + min(divide(took, v.room)-took, maxPause)
 	}
 }
 
-func (s *Scheduler) valve(level int) *valve {
+func (s *Scheduler) limiter(level int) *limiter {
 	if level == 0 {
 		return &s.urgent
 	}
@@ -154,7 +154,7 @@
 	if level == 0 {
 		running = s.levels[0].running // a long statement of others must not block them
 	}
-	return s.running < s.limit && s.valve(level).allows(now, running)
+	return s.running < s.limit && s.limiter(level).allows(now, running)
 }
 
 // Wake returns when the next statement may start although no other ends; 0 if none
@@ -163,7 +163,7 @@
 	if len(s.queue) == 0 || s.running > 0 {
 		return 0
 	}
-	if v := s.valve(s.queue[0].Request.Level); v.room < 1 && now < v.paused {
+	if v := s.limiter(s.queue[0].Request.Level); v.room < 1 && now < v.paused {
 		return v.paused
 	}
 	return 0
@@ -201,7 +201,7 @@
 	l.average(now)
 	l.running--
 	s.running--
-	s.valve(n).end(now, l.serviceTime())
+	s.limiter(n).end(now, l.serviceTime())
 	if s.running == 0 && len(s.queue) == 0 {
 		s.others.room = min(s.others.room, max(1, s.others.least))
 	}
