Guard a switch of a test, and let a test's copies of the row arrive

The test of a holder that stops looked for its successor after 0.5 s, when the copy of the row may just be on its way: it failed in 3 of 12 runs. It now waits for 1 s, less than the 1.5 s after which the second in rank would take over.

--- a/internal/services/bill/bill_test.go
+++ b/internal/services/bill/bill_test.go
@@ -120,7 +120,9 @@
 		var violations []string
 		var before, after int
 		run(t, p, hosts, func(_ *testing.T, w *world) {
+			w.mu.Lock()
 			w.duel = duel
+			w.mu.Unlock()
 			time.Sleep(8 * time.Second)
 			began := time.Now()
 			for _, e := range events {
@@ -295,7 +297,9 @@
 		former := w.holder()
 		name := w.record().Holder
 		w.stop(former)
-		time.Sleep(500 * time.Millisecond)
+		// Copies of the row are up to 0.75 s old here. The second in rank would take
+		// over after 1.5 s.
+		time.Sleep(time.Second)
 		w.start(former)
 		next := w.holder()
 		is.True(next >= 0 && next != former)
--- a/internal/services/bill/world_test.go
+++ b/internal/services/bill/world_test.go
@@ -402,7 +402,10 @@
 
 // Rank returns the number of running hosts with a lower index.
 func (p *process) Rank(duty string) int {
-	if duty == "readers" || p.world.duel {
+	p.world.mu.Lock()
+	duel := p.world.duel
+	p.world.mu.Unlock()
+	if duty == "readers" || duel {
 		return 0
 	}
 	n := 0
