Log why a primary that is to be replaced is not, and how old a drain is

The logs could not tell why a leaving primary stayed in use. Added: a line, when it changes, that names the other instances and why none can take over; for statements the time since the instance announced that it leaves; the metrics leaving_instance_seconds and blocked_primary_changes. The mirror keeps, for each leaving instance, the last time at which it had not announced that yet; no decision uses it so far.

--- a/internal/modules/stats/stats.go
+++ b/internal/modules/stats/stats.go
@@ -32,6 +32,8 @@
 	droppedLoads         prometheus.Counter
 	answerSeconds        prometheus.Histogram
 	primaryChangeSeconds *prometheus.HistogramVec
+	leavingSeconds       prometheus.Histogram
+	blockedChanges       prometheus.Gauge
 }
 
 // New returns metrics in a registry of their own.
@@ -76,7 +78,18 @@
 		Name:      "load_reports_dropped_total",
 		Help:      "Load reports that were dropped as implausible.",
 	})
-	s.registry.MustRegister(s.choices, s.droppedLoads)
+	s.leavingSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      "leaving_instance_seconds",
+		Help:      "Time from an instance's announcement that it leaves, at the earliest, to a statement that was sent to it.",
+		Buckets:   []float64{0.5, 1, 2, 3, 4, 5, 6, 7, 8, 10, 15},
+	})
+	s.blockedChanges = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace,
+		Name:      "blocked_primary_changes",
+		Help:      "Services whose primary is to be replaced while no other instance can take over.",
+	})
+	s.registry.MustRegister(s.choices, s.droppedLoads, s.leavingSeconds, s.blockedChanges)
 	s.registry.MustRegister(s.answers, s.refusals, s.reads, s.answerSeconds, s.primaryChangeSeconds)
 	s.registry.MustRegister(collectors.NewGoCollector())
 	return s
@@ -121,6 +134,18 @@
 	s.primaryChangeSeconds.WithLabelValues(kind).Observe(took.Seconds())
 }
 
+// RecordLeaving records that a statement was sent to an instance that announced, at most d
+// ago, that it leaves.
+func (s *Stats) RecordLeaving(d time.Duration) {
+	s.leavingSeconds.Observe(d.Seconds())
+}
+
+// SetBlockedChanges sets how many services have a primary that is to be replaced while no
+// other instance can take over.
+func (s *Stats) SetBlockedChanges(n int) {
+	s.blockedChanges.Set(float64(n))
+}
+
 // AddGauge adds a gauge whose value is read whenever the metrics are scraped.
 func (s *Stats) AddGauge(name, help string, value func() float64) {
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/services/dbview/dbview.go
+++ b/internal/services/dbview/dbview.go
@@ -48,6 +48,7 @@
 	Servers(service string) []server.Server
 	Server(id string) (server.Server, bool)
 	Missing(id string) bool
+	LeavingFor(id string) (time.Duration, bool)
 	Evacuated(dataCentre string) bool
 	Leader(service string) (l leader.Leader, version uint64, ok bool)
 	AsOf(name string) time.Duration
@@ -266,6 +267,12 @@
 	return uptime.Now() - asOf, source
 }
 
+// LeavingFor returns how long ago, at most, an instance announced that it leaves; false if
+// it has not.
+func (v *View) LeavingFor(id string) (time.Duration, bool) {
+	return v.tables.LeavingFor(id)
+}
+
 // Handover reports whether id is being replaced in a planned failover. What it
 // still acknowledges is not lost, since it stops before its successor starts. It ends
 // with the lease from the store: the failover may have gone on without id's consent.
--- a/internal/services/eras/eras_test.go
+++ b/internal/services/eras/eras_test.go
@@ -330,16 +330,17 @@
 	return tuple.NewVersion(w.seen, 1)
 }
 
-func (w *world) Services() []string                   { return []string{service} }
-func (w *world) Server(string) (server.Server, bool)  { return server.Server{}, false }
-func (w *world) Missing(string) bool                  { return false }
-func (w *world) Evacuated(string) bool                { return false }
-func (w *world) Reread(context.Context, string) error { return nil }
-func (w *world) AsOf(string) time.Duration            { return uptime.Now() }
-func (w *world) LeasesAsOf() time.Duration            { return uptime.Now() }
-func (w *world) Rank(string) int                      { return 0 }
-func (w *world) PushNow()                             {}
-func (w *world) View(string) *dbview.View             { return w.view }
+func (w *world) Services() []string                      { return []string{service} }
+func (w *world) Server(string) (server.Server, bool)     { return server.Server{}, false }
+func (w *world) Missing(string) bool                     { return false }
+func (w *world) LeavingFor(string) (time.Duration, bool) { return 0, false }
+func (w *world) Evacuated(string) bool                   { return false }
+func (w *world) Reread(context.Context, string) error    { return nil }
+func (w *world) AsOf(string) time.Duration               { return uptime.Now() }
+func (w *world) LeasesAsOf() time.Duration               { return uptime.Now() }
+func (w *world) Rank(string) int                         { return 0 }
+func (w *world) PushNow()                                {}
+func (w *world) View(string) *dbview.View                { return w.view }
 
 func (w *world) Registered() (since, until time.Duration, ok bool) {
 	return 0, math.MaxInt64, true
--- a/internal/services/failov/failov.go
+++ b/internal/services/failov/failov.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -117,6 +118,7 @@
 // meter counts failovers and how long they took.
 type meter interface {
 	RecordPrimaryChange(planned bool, took time.Duration)
+	SetBlockedChanges(n int)
 }
 
 // Failover checks the primaries and replaces those that failed or are about to
@@ -165,6 +167,9 @@
 	// this host first saw it.
 	version      uint64
 	versionSince time.Duration
+	// blocked describes why the primary is not replaced although it is to be; empty if
+	// it can be.
+	blocked string
 }
 
 // cause is why a primary is to be replaced; reason is empty if it is not.
@@ -200,6 +205,7 @@
 	if f.Directory.Age(f.FleetTable) > maxTableAge {
 		f.partitioned = now
 	}
+	defer func() { f.Meter.SetBlockedChanges(f.countBlocked()) }()
 	ranking := f.Hosts.RankingVersion()
 	for _, service := range f.Directory.Services() {
 		state, ok := f.services[service]
@@ -280,11 +286,26 @@
 	v := f.Views.View(service)
 	l, _ := v.Leader()
 	if l.Phase == leader.Changing {
+		state.blocked = ""
 		return f.findAbandoned(l, state, now)
 	}
-	if !f.hasCandidate(service, l.Primary) {
-		return cause{} // no instance could take over
+	found := f.findDefect(service, l, state, now)
+	switch {
+	case len(f.Directory.Servers(service)) == 0:
+		state.blocked = "" // this host has no copy of the instances yet, or there is none
+		return cause{}
+	case found.reason == "" || f.hasCandidate(service, l.Primary):
+		state.blocked = ""
+		return found
 	}
+	f.noteBlocked(service, l, state, found)
+	return cause{}
+}
+
+// findDefect returns why the primary in force is to be replaced, whether or not another
+// instance could take over.
+func (f *Failover) findDefect(service string, l leader.Leader, state *serviceState, now time.Duration) cause {
+	v := f.Views.View(service)
 	s, ok := f.Directory.Server(l.Primary)
 	if !ok {
 		return cause{
@@ -324,6 +345,49 @@
 	return cause{}
 }
 
+// noteBlocked logs, whenever that changes, why no instance can take over.
+func (f *Failover) noteBlocked(service string, l leader.Leader, state *serviceState, found cause) {
+	var others []string
+	for _, s := range f.Directory.Servers(service) {
+		if s.ID != l.Primary {
+			others = append(others, s.ID+" "+f.unfitness(s))
+		}
+	}
+	blocked := found.reason + ": " + strings.Join(others, ", ")
+	if state.blocked == blocked {
+		return
+	}
+	state.blocked = blocked
+	leaving := ""
+	if age, ok := f.Views.View(service).LeavingFor(l.Primary); ok {
+		leaving = age.String()
+	}
+	klog.InfoS("the primary is to be replaced, but no instance can take over", "service", service, "primary", l.Primary, "reason", found.reason, "others", others, "leaving-for", leaving)
+}
+
+// unfitness returns why an instance can't become the primary, in kebab case.
+func (f *Failover) unfitness(s server.Server) string {
+	switch {
+	case f.Directory.Missing(s.ID):
+		return "unregistered"
+	case s.Draining:
+		return "leaving"
+	}
+	return "data-centre-evacuated"
+}
+
+// countBlocked returns how many services have a primary that is to be replaced while no
+// other instance can take over.
+func (f *Failover) countBlocked() int {
+	n := 0
+	for _, state := range f.services {
+		if state.blocked != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // findAbandoned returns a cause for a record in the phase Changing whose failover
 // nobody carries out: its holder has not finished it within abandonedTimeout, or
 // the holder is this host, which has no failover under way.
--- a/internal/services/failov/world_test.go
+++ b/internal/services/failov/world_test.go
@@ -301,15 +301,16 @@
 	return in.server, true
 }
 
-func (w *world) Missing(string) bool                  { return false }
-func (w *world) MissingFor(string) time.Duration      { return 0 }
-func (w *world) Evacuated(string) bool                { return false }
-func (w *world) SyncReplicas(string) int              { return 0 }
-func (w *world) Reread(context.Context, string) error { return nil }
-func (w *world) StoreAnswers() bool                   { return true }
-func (w *world) Age(string) time.Duration             { return 0 }
-func (w *world) AsOf(string) time.Duration            { return uptime.Now() }
-func (w *world) LeasesAsOf() time.Duration            { return uptime.Now() }
+func (w *world) Missing(string) bool                     { return false }
+func (w *world) LeavingFor(string) (time.Duration, bool) { return 0, false }
+func (w *world) MissingFor(string) time.Duration         { return 0 }
+func (w *world) Evacuated(string) bool                   { return false }
+func (w *world) SyncReplicas(string) int                 { return 0 }
+func (w *world) Reread(context.Context, string) error    { return nil }
+func (w *world) StoreAnswers() bool                      { return true }
+func (w *world) Age(string) time.Duration                { return 0 }
+func (w *world) AsOf(string) time.Duration               { return uptime.Now() }
+func (w *world) LeasesAsOf() time.Duration               { return uptime.Now() }
 
 func (w *world) Leader(string) (l leader.Leader, version uint64, ok bool) {
 	w.mu.Lock()
@@ -417,6 +418,8 @@
 func (w *world) View(string) *dbview.View                { return w.view }
 func (w *world) RecordPrimaryChange(bool, time.Duration) {}
 
+func (w *world) SetBlockedChanges(int) {}
+
 func (w *world) FleetVersion(name string) uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/services/mirror/build.go
+++ b/internal/services/mirror/build.go
@@ -51,6 +51,7 @@
 	if m.sameServers(built, old) {
 		next.servers = old.servers
 		next.byService = old.byService
+		next.departures = old.departures
 	} else {
 		m.buildServers(next, old)
 		next.indexServers()
@@ -154,7 +155,7 @@
 // buildServers decodes the registered instances, and keeps those whose entries
 // have been gone for less than missingGrace.
 func (m *Mirror) buildServers(next, old *snapshot) {
-	rows, _, asOf := m.Copy(Servers)
+	rows, asOf, formerUntil := m.tables[Servers].rowsForSnapshot()
 	entries := make(decodedRows[server.Server], len(rows))
 	for _, r := range rows {
 		d := m.serverEntries.decode(entries, r, m.decoder.Server)
@@ -180,6 +181,7 @@
 			next.servers[id] = s
 		}
 	}
+	next.trackDepartures(old, formerUntil)
 	for id, s := range next.servers {
 		if o, ok := old.servers[id]; !ok || o.Draining != s.Draining || o.Primary != s.Primary {
 			klog.InfoS(
--- /dev/null
+++ b/internal/services/mirror/leaving.go
@@ -0,0 +1,81 @@
+package mirror
+
+import (
+	"time"
+
+	"wasabislip.example/wasabislip/internal/models/tuple"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
+)
+
+// maxAbsent bounds the departures of instances without an entry that are kept. An entry
+// that lapsed may come back.
+const maxAbsent = 1000
+
+// departure is an instance's announcement that it leaves.
+type departure struct {
+	// since is the last time at which the instance is known not to have announced it: the
+	// store may have acknowledged the announcement at any time after that. It is 0 if the
+	// first copy of the table already had the announcement.
+	since time.Duration
+	// startedMs is the instance's start, since it may start again under the same id.
+	startedMs int64
+}
+
+// LeavingFor returns how long ago, at most, an instance announced that it leaves; false if
+// it has not. It is a very long time if this host never saw the instance without the
+// announcement.
+func (m *Mirror) LeavingFor(id string) (time.Duration, bool) {
+	d, ok := m.current.Load().departures[id]
+	return uptime.Now() - d.since, ok
+}
+
+// trackDepartures notes since when instances have been leaving. formerUntil is until when
+// the servers of the last snapshot were the newest state.
+func (next *snapshot) trackDepartures(old *snapshot, formerUntil time.Duration) {
+	next.departures = map[string]departure{}
+	for id, s := range next.servers {
+		if !s.Draining {
+			continue
+		}
+		d, ok := old.departures[id]
+		if !ok || d.startedMs != s.StartedMs {
+			d = departure{
+				since:     formerUntil,
+				startedMs: s.StartedMs,
+			}
+		}
+		next.departures[id] = d
+	}
+	absent := map[string]departure{}
+	for id, d := range old.departures {
+		if _, ok := next.servers[id]; !ok {
+			absent[id] = d
+		}
+	}
+	if len(absent) > maxAbsent {
+		return
+	}
+	for id, d := range absent {
+		next.departures[id] = d
+	}
+}
+
+// rowsForSnapshot returns the rows with their time as of AsOf, and until when the rows of
+// the call before were the newest state.
+func (t *table) rowsForSnapshot() (rows []tuple.Tuple, asOf, formerUntil time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	formerUntil = t.snapshotUntil
+	t.snapshotChanges = t.changes
+	t.snapshotUntil = t.asOf
+	return t.list(), t.asOf, formerUntil
+}
+
+// confirm notes that the rows were the newest state at asOf. The caller holds the lock, and
+// has counted a change.
+func (t *table) confirm(asOf time.Duration) {
+	t.asOf = max(t.asOf, asOf)
+	if t.changes == t.snapshotChanges {
+		t.snapshotUntil = t.asOf
+	}
+}
--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -124,8 +124,11 @@
 	// as-of time of the last copy of an earlier era that was open.
 	eraSince time.Duration
 	openAsOf time.Duration
-	// changes counts the changes of the rows.
-	changes uint64
+	// changes counts the changes of the rows. Those that the last snapshot was derived
+	// from had snapshotChanges, and were the newest state until snapshotUntil.
+	changes         uint64
+	snapshotChanges uint64
+	snapshotUntil   time.Duration
 	// separate is the key of the row that is passed on by itself; see usage.go.
 	separate string
 }
@@ -148,6 +151,8 @@
 	// missing holds, for each instance in servers without an entry, the as-of
 	// time of the first copy that lacks the entry.
 	missing map[string]time.Duration
+	// departures are since when instances have been leaving, by id.
+	departures map[string]departure
 	// rewriting says that entries may be older than the servers; see keepLeaving.
 	rewriting      bool
 	leaders        map[string]leader.Leader
@@ -313,11 +318,16 @@
 	t := m.tables[name]
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rows = make([]tuple.Tuple, 0, len(t.rows))
+	return t.list(), t.version, t.asOf
+}
+
+// list returns the rows. The caller holds the lock.
+func (t *table) list() []tuple.Tuple {
+	rows := make([]tuple.Tuple, 0, len(t.rows))
 	for _, r := range t.rows {
 		rows = append(rows, r)
 	}
-	return rows, t.version, t.asOf
+	return rows
 }
 
 // Replace replaces a table by its rows at a version of the store. A version older
@@ -370,7 +380,7 @@
 		t.trackEra(version, asOf)
 		t.version = version
 	}
-	t.asOf = max(t.asOf, asOf)
+	t.confirm(asOf)
 }
 
 // Digest returns a hash of the rows of a table, which is equal for equal copies,
@@ -442,12 +452,12 @@
 	}
 	t.keepSeparate(known, version)
 	t.version = version
-	t.asOf = max(t.asOf, asOf)
-	if t.sum == former && len(known) == len(t.rows) {
-		return false
+	changed := t.sum != former || len(known) != len(t.rows)
+	if changed {
+		t.changes++
 	}
-	t.changes++
-	return true
+	t.confirm(asOf)
+	return changed
 }
 
 // trackEra notes the start of a new era with the copy of a version as of asOf. The
@@ -491,9 +501,9 @@
 		t.sum += t.sums[r.Key]
 	}
 	t.version = version
-	t.asOf = max(t.asOf, asOf)
 	if changed {
 		t.changes++
 	}
+	t.confirm(asOf)
 	return changed
 }
--- a/internal/services/poller/poller_test.go
+++ b/internal/services/poller/poller_test.go
@@ -263,15 +263,16 @@
 	}, 1, true
 }
 
-func (w *world) Policy() *policy.Policy    { return nil }
-func (w *world) Services() []string        { return []string{service} }
-func (w *world) Missing(string) bool       { return false }
-func (w *world) Evacuated(string) bool     { return false }
-func (w *world) AsOf(string) time.Duration { return 0 }
-func (w *world) LeasesAsOf() time.Duration { return 1 } // the only copy is from long ago
-func (w *world) RankingVersion() uint64    { return 1 }
-func (w *world) Rank(string) int           { return 0 }
-func (w *world) IsAmong(string, int) bool  { return true }
+func (w *world) Policy() *policy.Policy                  { return nil }
+func (w *world) Services() []string                      { return []string{service} }
+func (w *world) Missing(string) bool                     { return false }
+func (w *world) LeavingFor(string) (time.Duration, bool) { return 0, false }
+func (w *world) Evacuated(string) bool                   { return false }
+func (w *world) AsOf(string) time.Duration               { return 0 }
+func (w *world) LeasesAsOf() time.Duration               { return 1 } // the only copy is from long ago
+func (w *world) RankingVersion() uint64                  { return 1 }
+func (w *world) Rank(string) int                         { return 0 }
+func (w *world) IsAmong(string, int) bool                { return true }
 
 func (w *world) KnowsFleet() bool {
 	w.mu.Lock()
--- a/internal/services/sess/attempt.go
+++ b/internal/services/sess/attempt.go
@@ -34,6 +34,7 @@
 	server server.Server
 	grant  grant
 	runner taskRunner
+	meter  meter
 	// maxWait is how long it may wait for a connection.
 	maxWait time.Duration
 	// deadline is when the statement times out.
@@ -49,6 +50,7 @@
 		server:   to,
 		grant:    g,
 		runner:   s.Forwarder.Open(to, g.workspace),
+		meter:    s.Meter,
 		maxWait:  maxWait,
 		deadline: deadline,
 	}
@@ -63,6 +65,9 @@
 	t.Wait = a.maxWait
 	t.Level, t.Objective = a.grant.objective()
 	t.Deadline = a.deadline
+	if age, leaving := a.view.LeavingFor(a.server.ID); leaving && t.Kind != task.InTransaction {
+		a.meter.RecordLeaving(age)
+	}
 	sentAt := uptime.Now()
 	a.view.RecordStart(a.server.ID)
 	r, err := a.runner.Do(ctx, t)
--- a/internal/services/sess/autocommit.go
+++ b/internal/services/sess/autocommit.go
@@ -110,13 +110,7 @@
 		return *refusal
 	}
 	a := s.newAttempt(v, to, g, g.maxQueueWait(), deadline)
-	leaseAge, leaseSource := v.LastRenewal()
-	s.lastDecision = decision{
-		instance:    to.ID,
-		attempts:    1,
-		leaseAge:    leaseAge,
-		leaseSource: leaseSource,
-	}
+	s.lastDecision = newDecision(v, to.ID)
 	r, err := a.autocommit(ctx, q, s.settings, s.prepared[q.Name].Value, logpos.Position{})
 	if err != nil {
 		return s.writeFailure(err)
@@ -337,15 +331,11 @@
 // send sends the read to one instance, while others may still be running it.
 func (x *readRequest) send(ctx context.Context, to server.Server, replica bool, minPosition logpos.Position, wait time.Duration) {
 	x.attempts++
-	leaseAge, leaseSource := x.view.LastRenewal()
-	x.session.lastDecision = decision{
-		instance:    to.ID,
-		choice:      x.choice,
-		minPosition: minPosition,
-		attempts:    x.attempts,
-		leaseAge:    leaseAge,
-		leaseSource: leaseSource,
-	}
+	d := newDecision(x.view, to.ID)
+	d.choice = x.choice
+	d.minPosition = minPosition
+	d.attempts = x.attempts
+	x.session.lastDecision = d
 	x.tried[to.ID] = true
 	x.running++
 	a := x.session.newAttempt(x.view, to, x.grant, wait, x.deadline)
--- a/internal/services/sess/sess.go
+++ b/internal/services/sess/sess.go
@@ -46,6 +46,7 @@
 	RecordAnswer(outcome int, took time.Duration)
 	RecordRefusal(reason string)
 	RecordRead(replica bool)
+	RecordLeaving(d time.Duration)
 }
 
 // Session is one caller's session. One goroutine uses it at a time.
@@ -98,6 +99,24 @@
 	leaseAge time.Duration
 	// leaseSource is where that renewal came from.
 	leaseSource string
+	// leavingFor is how long ago, at most, the instance announced that it leaves; 0 if it
+	// has not.
+	leavingFor time.Duration
+}
+
+// newDecision returns the decision to send a statement to an instance for the first time.
+func newDecision(v *dbview.View, instance string) decision {
+	leaseAge, leaseSource := v.LastRenewal()
+	d := decision{
+		instance:    instance,
+		attempts:    1,
+		leaseAge:    leaseAge,
+		leaseSource: leaseSource,
+	}
+	if age, leaving := v.LeavingFor(instance); leaving {
+		d.leavingFor = age
+	}
+	return d
 }
 
 // grant is what the configuration allows a caller now.
@@ -380,6 +399,9 @@
 	if s.lastDecision.choice != "" {
 		fields = append(fields, "choice", s.lastDecision.choice)
 	}
+	if s.lastDecision.leavingFor > 0 {
+		fields = append(fields, "leaving-for", s.lastDecision.leavingFor.String())
+	}
 	if p := s.Config.Policy(); p != nil {
 		fields = append(fields, "workspace", p.Owners[s.Key], "version", p.Version)
 		if p.HasAdmission() {
--- a/internal/services/sess/tx.go
+++ b/internal/services/sess/tx.go
@@ -211,13 +211,7 @@
 func (s *Session) forward(ctx context.Context, q query.Query, deadline time.Time) (reply.Reply, error) {
 	a := s.tx.attempt
 	a.deadline = deadline
-	leaseAge, leaseSource := a.view.LastRenewal()
-	s.lastDecision = decision{
-		instance:    a.server.ID,
-		attempts:    1,
-		leaseAge:    leaseAge,
-		leaseSource: leaseSource,
-	}
+	s.lastDecision = newDecision(a.view, a.server.ID)
 	return a.do(ctx, &task.Task{
 		Kind:          task.InTransaction,
 		Query:         q,
--- a/internal/services/views/views_test.go
+++ b/internal/services/views/views_test.go
@@ -25,11 +25,12 @@
 	renewed time.Duration
 }
 
-func (t *tables) Servers(string) []server.Server      { return nil }
-func (t *tables) Server(string) (server.Server, bool) { return server.Server{}, false }
-func (t *tables) Missing(string) bool                 { return false }
-func (t *tables) Evacuated(string) bool               { return false }
-func (t *tables) AsOf(string) time.Duration           { return uptime.Now() - t.renewed }
+func (t *tables) Servers(string) []server.Server          { return nil }
+func (t *tables) Server(string) (server.Server, bool)     { return server.Server{}, false }
+func (t *tables) Missing(string) bool                     { return false }
+func (t *tables) LeavingFor(string) (time.Duration, bool) { return 0, false }
+func (t *tables) Evacuated(string) bool                   { return false }
+func (t *tables) AsOf(string) time.Duration               { return uptime.Now() - t.renewed }
 
 func (t *tables) LeasesAsOf() time.Duration { return uptime.Now() - t.renewed }
 
