Show that a leaving primary without a successor gets new work for good

Callers' statements still ran at an instance 7 s after it had announced that it leaves. The test plays four reasons for which no failover takes place: the other instances are cut off from the store, leave as well, stand in evacuated data centres, or the store takes no record. A transaction that began in time sends its first statement too late.

--- /dev/null
+++ b/internal/standin/simenv/leave_test.go
@@ -0,0 +1,169 @@
+package simenv_test
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabislip.example/wasabislip/internal/standin/rowsrv"
+	"wasabislip.example/wasabislip/internal/standin/simenv"
+	"wasabislip.example/wasabislip/platform/decode"
+)
+
+const (
+	// leaveLimit is how long after the announcement of an instance that it leaves new work
+	// may reach it, and changeLimit how long a change of primary may take.
+	leaveLimit  = 7 * time.Second
+	changeLimit = 12 * time.Second
+	// usableTime is for how long callers may expect a leaving primary that nothing can
+	// replace to serve.
+	usableTime = 4 * time.Second
+	// promptly is within what time callers hear that a statement can't be served.
+	promptly = simenv.TargetLatency / 10
+	// lapseTime is longer than hosts keep an instance whose entry is gone.
+	lapseTime = 8 * time.Second
+)
+
+// announceLeave makes an instance announce that it leaves, and returns when the store had
+// the announcement.
+func announceLeave(is *is.I, env *simenv.Environment, id string) time.Time {
+	is.Helper()
+	env.DrainInstance(id)
+	for range 2000 {
+		if bytes.Contains(env.Store.Get(decode.ServerTable, id), []byte(`"draining"`)) {
+			return time.Now()
+		}
+		time.Sleep(time.Millisecond)
+	}
+	is.Fail() // the announcement did not arrive
+	return time.Time{}
+}
+
+// sendStatements sends statements of a database through all hosts until a moment. It returns
+// how many succeeded and failed, and the longest time that one took.
+func sendStatements(env *simenv.Environment, hosts int, database, statement string, until time.Time) (done, failed int, longest time.Duration) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range hosts {
+		wg.Go(func() {
+			for time.Now().Before(until) {
+				c, _, ok := env.OpenSession(i, database, "key-one")
+				sent := time.Now()
+				ok = ok && c.Do(statement).OK()
+				c.Close()
+				mu.Lock()
+				longest = max(longest, time.Since(sent))
+				if ok {
+					done++
+				} else {
+					failed++
+				}
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	return done, failed, longest
+}
+
+// countLate returns how many single statements reached an instance after a moment.
+func countLate(env *simenv.Environment, id string, after time.Time) int {
+	n := 0
+	for _, x := range env.Group.Executions() {
+		if x.Instance == id && x.At.After(after) && !x.InTransaction {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLeavingPrimary guards against a primary that gets new work long after it announced
+// that it leaves, since no other instance can take over.
+func TestLeavingPrimary(t *testing.T) {
+	const hosts = 6
+	others := []string{"i-2", "i-3"}
+	play := func(what string, isolate, back func(is *is.I, env *simenv.Environment)) {
+		t.Run(what, func(t *testing.T) {
+			runScript(t, hosts, func(is *is.I, env *simenv.Environment) {
+				isolate(is, env)
+				left := announceLeave(is, env, "i-1")
+				_, failed, _ := sendStatements(env, hosts, "strict", "WRITE item 1", left.Add(usableTime))
+				is.Equal(failed, 0)
+				_, _, _ = sendStatements(env, hosts, "strict", "WRITE item 2", left.Add(leaveLimit))
+				done, _, longest := sendStatements(env, hosts, "strict", "WRITE item 3", left.Add(2*leaveLimit))
+				is.Equal(countLate(env, "i-1", left.Add(leaveLimit)), 0)
+				is.Equal(done, 0)
+				is.True(longest < promptly)
+				back(is, env)
+				is.True(writeUntil(is, env, 0, changeLimit) < changeLimit)
+			})
+		})
+	}
+	play("the others are cut off from the store", func(_ *is.I, env *simenv.Environment) {
+		for _, id := range others {
+			env.ExpireHeartbeat(id)
+		}
+		time.Sleep(lapseTime)
+	}, func(_ *is.I, env *simenv.Environment) {
+		for _, id := range others {
+			env.ResumeHeartbeat(id)
+		}
+	})
+	play("the others leave too", func(is *is.I, env *simenv.Environment) {
+		for _, id := range others {
+			announceLeave(is, env, id)
+		}
+	}, func(_ *is.I, env *simenv.Environment) {
+		env.StopLeaving("i-2")
+	})
+	play("the data centres of the others are evacuated", func(_ *is.I, env *simenv.Environment) {
+		for _, dc := range []string{"b", "c"} {
+			env.Store.Put(decode.OperatorTable, "evacuate/"+dc, map[string]any{})
+		}
+		time.Sleep(time.Second)
+	}, func(_ *is.I, env *simenv.Environment) {
+		env.Store.Delete(decode.OperatorTable, "evacuate/b")
+	})
+	play("the store takes no record of a failover", func(_ *is.I, env *simenv.Environment) {
+		env.Store.SetFault(func(_ string, write bool) string {
+			if write {
+				return rowsrv.Silent
+			}
+			return ""
+		})
+	}, func(_ *is.I, env *simenv.Environment) {
+		env.Store.SetFault(nil)
+	})
+}
+
+// TestLeavingTransactions guards against a transaction that begins in time and sends its
+// first statement to a leaving primary too late, and against cutting off one that has run
+// statements.
+func TestLeavingTransactions(t *testing.T) {
+	runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+		for _, id := range []string{"i-2", "i-3"} {
+			env.ExpireHeartbeat(id)
+		}
+		time.Sleep(lapseTime)
+		left := announceLeave(is, env, "i-1")
+		time.Sleep(4800 * time.Millisecond) // idle transactions end after 3 s
+		idle, _, _ := env.OpenSession(0, "strict", "key-one")
+		defer idle.Close()
+		is.True(idle.Do("BEGIN").OK())
+		busy, _, _ := env.OpenSession(1, "strict", "key-one")
+		defer busy.Close()
+		is.True(busy.Do("BEGIN").OK())
+		is.True(busy.Do("WRITE busy 1").OK())
+		time.Sleep(time.Until(left.Add(leaveLimit + 200*time.Millisecond)))
+		is.Equal(idle.Do("WRITE idle 1").Code, "ABORTED")
+		is.True(busy.Do("WRITE busy 2").OK())
+		is.True(busy.Do("COMMIT").OK())
+		for _, x := range env.Group.Executions() {
+			is.True(x.Text != "WRITE idle 1")
+		}
+	})
+}
--- a/internal/standin/simenv/simenv.go
+++ b/internal/standin/simenv/simenv.go
@@ -355,6 +355,14 @@
 	e.draining[id] = true
 }
 
+// StopLeaving makes an instance report the state ready again, as one does that was
+// replaced at its address.
+func (e *Environment) StopLeaving(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining[id] = false
+}
+
 // CrashInstance stops an instance at once. Its entry expires after three missed
 // heartbeats.
 func (e *Environment) CrashInstance(id string) {
