Give a leaving instance no new work after the time for leaving, whatever else fails

Callers' statements reached an instance 7,009 ms and 7,039 ms after it had announced that it leaves; 7,000 ms are allowed.

Cause: the instance was the primary, and only a planned failover keeps new work off a leaving primary. No failover starts while no other instance can take over, none ends while the store takes no record, and hosts used the primary until it exited.

Now each host enforces the bound itself. A statement that needs a primary that nothing can replace is refused at once, with when to come back, also where its data centre is evacuated.

In the case in which the store takes no record, an instance can take over and statements wait for it, so that its answers are bound by the statement's timeout instead of a tenth of the target latency.

--- a/internal/modules/conf/conf.go
+++ b/internal/modules/conf/conf.go
@@ -20,6 +20,9 @@
 	// minMemoryMB and minFiles are what a host needs before it serves any caller.
 	minMemoryMB = 32
 	minFiles    = 256
+	// minDrainTimeout leaves time for hearing of the announcement.
+	minDrainTimeout = 500 * time.Millisecond
+	maxDrainTimeout = time.Hour
 	// Bounds of the settings of the usage reports. A holder writes to the store within
 	// a part of the lease, and a successor reports within the delay.
 	minReportWindow = time.Second
@@ -63,6 +66,9 @@
 	OrderAddress string `yaml:"order-address"`
 	// GracePeriod is how long a planned stop may take.
 	GracePeriod time.Duration `yaml:"grace"`
+	// DrainTimeout is how long after an instance's announcement that it leaves new work
+	// may reach it; 0 for no bound.
+	DrainTimeout time.Duration `yaml:"drain-timeout"`
 	// RateWindow is the length of the window in which operators count a
 	// workspace's operations against its rate and burst.
 	RateWindow time.Duration `yaml:"rate-window"`
@@ -148,6 +154,9 @@
 	if s.RateWindow < time.Second {
 		f.AddProblem("rate-window", "is too short to count in", "use 1s or more")
 	}
+	if s.DrainTimeout != 0 && (s.DrainTimeout < minDrainTimeout || s.DrainTimeout > maxDrainTimeout) {
+		f.AddProblem("drain-timeout", "is out of range", fmt.Sprintf("use %s to %s, or leave it out", minDrainTimeout, maxDrainTimeout))
+	}
 	s.checkUsage(f)
 	if s.MemoryMB < minMemoryMB {
 		f.AddProblem("memory-mb", "is too little", "use 32 or more")
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"wasabislip.example/wasabislip/internal/gen/wasabislip/v1/wasabislipv1connect"
+	"wasabislip.example/wasabislip/internal/models/leave"
 	"wasabislip.example/wasabislip/internal/models/permit"
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/models/reply"
@@ -256,6 +257,9 @@
 	rank := &deferredRank{}
 	registrar := &deferredRegistrar{}
 	h.mirror = mirror.New(h.Store, h.Decoder, rank, h.OperatorTable, h.ServerTable)
+	h.mirror.Leave = leave.Bound{
+		Timeout: h.Settings.DrainTimeout,
+	}
 	h.stats = stats.New()
 	h.views = views.New(func(service string) *dbview.View {
 		v := dbview.New(service, self.DataCentre, mirror.Fleet, h.mirror, registrar)
--- a/internal/routers/tasks/admission_test.go
+++ b/internal/routers/tasks/admission_test.go
@@ -30,6 +30,7 @@
 
 func (r *requester) Alive() []modelhost.Host                { return []modelhost.Host{r.holder} }
 func (r *requester) Server(id string) (server.Server, bool) { return r.own.Server(id) }
+func (r *requester) MaySend(string) bool                    { return true }
 func (r *requester) Policy() *policy.Policy                 { return nil }
 func (r *requester) Pool(s server.Server) *conns.Pool       { return r.own.Pool(s) }
 
--- a/internal/routers/tasks/fuzz_test.go
+++ b/internal/routers/tasks/fuzz_test.go
@@ -37,6 +37,8 @@
 	return h
 }
 
+func (h *host) MaySend(string) bool { return true }
+
 func (h *host) Server(id string) (server.Server, bool) {
 	return server.Server{
 		ID: id,
--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -55,6 +55,7 @@
 // directory looks up instances.
 type directory interface {
 	Server(id string) (server.Server, bool)
+	MaySend(id string) bool
 }
 
 // pools holds this host's connections to instances.
--- a/internal/services/dbview/dbview.go
+++ b/internal/services/dbview/dbview.go
@@ -43,12 +43,17 @@
 	SourceReplicas = "replicas"
 )
 
+// NoSuccessor is the reason of Primary if the primary gets no new work and no other instance
+// can replace it: waiting for another one is of no use.
+const NoSuccessor = "no-successor"
+
 // tables is this host's copy of the tables in the platform's store.
 type tables interface {
 	Servers(service string) []server.Server
 	Server(id string) (server.Server, bool)
 	Missing(id string) bool
 	LeavingFor(id string) (time.Duration, bool)
+	AcceptsWork(id string) bool
 	Evacuated(dataCentre string) bool
 	Leader(service string) (l leader.Leader, version uint64, ok bool)
 	AsOf(name string) time.Duration
@@ -208,8 +213,8 @@
 	if !v.hasLease(l.Primary) {
 		return server.Server{}, "lease-expired"
 	}
-	if v.tables.Evacuated(s.DataCentre) {
-		return server.Server{}, "primary-evacuated"
+	if reason := v.unavailable(s); reason != "" {
+		return server.Server{}, reason
 	}
 	if v.fails(l.Primary) {
 		return server.Server{}, "primary-unreachable"
@@ -217,6 +222,31 @@
 	return s, ""
 }
 
+// unavailable returns why a primary that runs gets no new work; empty if it does.
+func (v *View) unavailable(primary server.Server) string {
+	evacuated := v.tables.Evacuated(primary.DataCentre)
+	switch {
+	case !evacuated && v.tables.AcceptsWork(primary.ID):
+		return ""
+	case len(v.Successors(primary.ID)) == 0:
+		return NoSuccessor
+	case evacuated:
+		return "primary-evacuated"
+	}
+	return "primary-leaving"
+}
+
+// Successors returns the instances that may replace the primary.
+func (v *View) Successors(primary string) []server.Server {
+	var list []server.Server
+	for _, s := range v.tables.Servers(v.service) {
+		if s.ID != primary && !s.Draining && !v.tables.Missing(s.ID) && !v.tables.Evacuated(s.DataCentre) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // HasLease reports whether id is the primary and its lease is valid: no other
 // instance can have been promoted by now. An answer of the primary counts only
 // if this still holds when the answer is in.
--- a/internal/services/dbview/lease_test.go
+++ b/internal/services/dbview/lease_test.go
@@ -35,6 +35,7 @@
 
 func (c *copies) Missing(string) bool                         { return false }
 func (c *copies) LeavingFor(string) (time.Duration, bool)     { return 0, false }
+func (c *copies) AcceptsWork(string) bool                     { return true }
 func (c *copies) Evacuated(string) bool                       { return false }
 func (c *copies) Leader(string) (leader.Leader, uint64, bool) { return c.record, 1, true }
 func (c *copies) AsOf(string) time.Duration                   { return c.asOf }
--- a/internal/services/eras/eras_test.go
+++ b/internal/services/eras/eras_test.go
@@ -334,6 +334,7 @@
 func (w *world) Server(string) (server.Server, bool)     { return server.Server{}, false }
 func (w *world) Missing(string) bool                     { return false }
 func (w *world) LeavingFor(string) (time.Duration, bool) { return 0, false }
+func (w *world) AcceptsWork(string) bool                 { return true }
 func (w *world) Evacuated(string) bool                   { return false }
 func (w *world) Reread(context.Context, string) error    { return nil }
 func (w *world) AsOf(string) time.Duration               { return uptime.Now() }
--- a/internal/services/failov/failov.go
+++ b/internal/services/failov/failov.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -294,7 +293,7 @@
 	case len(f.Directory.Servers(service)) == 0:
 		state.blocked = "" // this host has no copy of the instances yet, or there is none
 		return cause{}
-	case found.reason == "" || f.hasCandidate(service, l.Primary):
+	case found.reason == "" || len(f.candidates(service, l.Primary)) > 0:
 		state.blocked = ""
 		return found
 	}
@@ -413,23 +412,7 @@
 
 // candidates returns the instances that may become the primary.
 func (f *Failover) candidates(service, former string) []server.Server {
-	var list []server.Server
-	for _, s := range f.Directory.Servers(service) {
-		if f.isCandidate(s, former) {
-			list = append(list, s)
-		}
-	}
-	return list
-}
-
-func (f *Failover) isCandidate(s server.Server, former string) bool {
-	return s.ID != former && !s.Draining && !f.Directory.Missing(s.ID) && !f.Directory.Evacuated(s.DataCentre)
-}
-
-func (f *Failover) hasCandidate(service, former string) bool {
-	return slices.ContainsFunc(f.Directory.Servers(service), func(s server.Server) bool {
-		return f.isCandidate(s, former)
-	})
+	return f.Views.View(service).Successors(former)
 }
 
 // requiredAnswers returns how many replicas have to answer before one of them
--- a/internal/services/failov/world_test.go
+++ b/internal/services/failov/world_test.go
@@ -303,6 +303,7 @@
 
 func (w *world) Missing(string) bool                     { return false }
 func (w *world) LeavingFor(string) (time.Duration, bool) { return 0, false }
+func (w *world) AcceptsWork(string) bool                 { return true }
 func (w *world) MissingFor(string) time.Duration         { return 0 }
 func (w *world) Evacuated(string) bool                   { return false }
 func (w *world) SyncReplicas(string) int                 { return 0 }
--- a/internal/services/forwd/forwd.go
+++ b/internal/services/forwd/forwd.go
@@ -45,6 +45,7 @@
 type directory interface {
 	Server(id string) (server.Server, bool)
 	Policy() *policy.Policy
+	MaySend(id string) bool
 }
 
 // pools holds this host's own connections to instances.
--- a/internal/services/mirror/leaving.go
+++ b/internal/services/mirror/leaving.go
@@ -29,6 +29,20 @@
 	return uptime.Now() - d.since, ok
 }
 
+// AcceptsWork reports whether new work may be assigned to an instance: it does not leave, or
+// has announced so lately that it leaves that the work arrives in time.
+func (m *Mirror) AcceptsWork(id string) bool {
+	age, leaving := m.LeavingFor(id)
+	return !leaving || m.Leave.AcceptsWork(age)
+}
+
+// MaySend reports whether work that was assigned to an instance before may be sent to it
+// now.
+func (m *Mirror) MaySend(id string) bool {
+	age, leaving := m.LeavingFor(id)
+	return !leaving || m.Leave.MaySend(age)
+}
+
 // trackDepartures notes since when instances have been leaving. formerUntil is until when
 // the servers of the last snapshot were the newest state.
 func (next *snapshot) trackDepartures(old *snapshot, formerUntil time.Duration) {
--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"wasabislip.example/wasabislip/internal/models/leader"
+	"wasabislip.example/wasabislip/internal/models/leave"
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/tuple"
@@ -70,6 +71,9 @@
 // Mirror holds copies of the tables, and a snapshot decoded from them. It is
 // safe for concurrent use.
 type Mirror struct {
+	// Leave bounds the work of instances that leave. It is set before the first use.
+	Leave leave.Bound
+
 	source  source
 	decoder decoder
 	ranker  ranker
--- a/internal/services/poller/poller_test.go
+++ b/internal/services/poller/poller_test.go
@@ -267,6 +267,7 @@
 func (w *world) Services() []string                      { return []string{service} }
 func (w *world) Missing(string) bool                     { return false }
 func (w *world) LeavingFor(string) (time.Duration, bool) { return 0, false }
+func (w *world) AcceptsWork(string) bool                 { return true }
 func (w *world) Evacuated(string) bool                   { return false }
 func (w *world) AsOf(string) time.Duration               { return 0 }
 func (w *world) LeasesAsOf() time.Duration               { return 1 } // the only copy is from long ago
--- a/internal/services/runner/runner.go
+++ b/internal/services/runner/runner.go
@@ -27,6 +27,7 @@
 // directory looks up instances.
 type directory interface {
 	Server(id string) (server.Server, bool)
+	MaySend(id string) bool
 }
 
 // pools holds the connections to instances.
@@ -49,6 +50,8 @@
 	conn *pconn.Conn
 	// counted says that the open transaction has been counted.
 	counted bool
+	// ran says that a statement of the open transaction has been sent.
+	ran bool
 }
 
 // New returns a runner without a connection.
@@ -59,7 +62,7 @@
 	}
 }
 
-// Do runs one task. Errors are faults: overloaded and not-run say that the
+// Do runs one task. Errors are faults: overloaded, draining and not-run say that the
 // statement was not sent, outcome-unknown that no answer came.
 func (r *Runner) Do(ctx context.Context, t *task.Task) (reply.Reply, error) {
 	switch t.Kind {
@@ -77,6 +80,7 @@
 	}
 	if t.Kind == task.Begin {
 		r.counted = false
+		r.ran = false
 		r.conn.Begin(t.ReadOnly, t.MinPosition)
 	} else {
 		r.send(t)
@@ -112,6 +116,10 @@
 	if err != nil {
 		return err
 	}
+	if !r.directory.MaySend(t.Instance) {
+		r.pool.Put(c)
+		return leaving(t.Instance)
+	}
 	r.conn = c
 	c.ApplySettings(t.SessionValues)
 	return nil
@@ -211,6 +219,11 @@
 			"start the transaction again",
 		)
 	}
+	if !r.ran && !r.directory.MaySend(t.Instance) {
+		r.rollback()
+		return reply.Reply{}, leaving(t.Instance)
+	}
+	r.ran = true
 	r.pool.ResumeTransaction(r.conn)
 	r.conn.ApplySettings(t.SessionValues)
 	t.MinPosition = logpos.Position{}
@@ -239,6 +252,16 @@
 	r.conn = nil
 }
 
+// leaving returns the fault for a statement that waited until its instance no longer takes
+// new work.
+func leaving(id string) error {
+	return fault.New(
+		fault.Draining,
+		"instance "+id+" leaves and takes no new work",
+		"retry; another instance may serve",
+	)
+}
+
 // unsent returns the fault for a statement that was not sent whole: what is missing
 // includes the end of its line, without which the instance does not run it.
 func unsent(id string, err error) error {
--- a/internal/services/runner/runner_test.go
+++ b/internal/services/runner/runner_test.go
@@ -36,6 +36,8 @@
 	}, true
 }
 
+func (i *instance) MaySend(string) bool { return true }
+
 func (i *instance) Pool(server.Server) *conns.Pool { return i.pool }
 
 func (i *instance) Dial(context.Context, string) (link.Link, error) {
--- a/internal/services/sess/attempt.go
+++ b/internal/services/sess/attempt.go
@@ -74,7 +74,7 @@
 	a.view.RecordLoad(a.server.ID, r.Load, sentAt)
 	if err != nil {
 		a.view.RecordAbandoned(a.server.ID)
-		if !fault.IsKind(err, fault.Overloaded) && !a.runner.HolderFailed() {
+		if !fault.IsKind(err, fault.Overloaded) && !fault.IsKind(err, fault.Draining) && !a.runner.HolderFailed() {
 			a.view.RecordFailure(a.server.ID)
 		}
 		return r, err
--- a/internal/services/sess/autocommit.go
+++ b/internal/services/sess/autocommit.go
@@ -31,6 +31,9 @@
 	// noPrimaryRetryAfter is when callers are told to retry while there is no
 	// primary.
 	noPrimaryRetryAfter = 300 * time.Millisecond
+	// noSuccessorRetryAfter is when they are told to retry while no instance can become
+	// the primary: after about one heartbeat of an instance.
+	noSuccessorRetryAfter = time.Second
 )
 
 // maxQueueWait is how long a statement may wait for a connection: a fraction of
@@ -92,6 +95,8 @@
 			return p, false, nil
 		case reason == "lease-expired" || reason == "primary-unreachable":
 			return p, true, s.refusal(reply.Busy, reason, "this host can't use the primary now; another host may", busyRetryAfter)
+		case reason == dbview.NoSuccessor:
+			return p, false, s.refusal(reply.Busy, reason, "the primary is to be replaced, but no other instance can take over", noSuccessorRetryAfter)
 		case time.Now().After(limit) || ctx.Err() != nil:
 			return p, false, s.refusal(reply.Busy, reason, "there is no primary to run the statement", noPrimaryRetryAfter)
 		}
--- a/internal/services/sess/sess.go
+++ b/internal/services/sess/sess.go
@@ -28,6 +28,7 @@
 type config interface {
 	Policy() *policy.Policy
 	Evacuated(dataCentre string) bool
+	MaySend(instance string) bool
 	Changed() <-chan struct{}
 }
 
--- a/internal/services/sess/tx.go
+++ b/internal/services/sess/tx.go
@@ -30,6 +30,8 @@
 	// onPrimary is set if the transaction runs on the primary.
 	onPrimary bool
 	wrote     bool
+	// ran is set once a statement has been sent to the instance.
+	ran bool
 	// failed is set once the transaction can only be ended.
 	failed bool
 	// abortReply says why the proxy ended the transaction; nil once the caller
@@ -114,12 +116,15 @@
 }
 
 // revalidate checks that the open transaction may still run statements: the key
-// is valid, and the data centre of the instance is in service.
+// is valid, the instance may still get the first one, and its data centre is in service.
 func (s *Session) revalidate() *reply.Reply {
 	p := s.Config.Policy()
 	if workspace, ok := p.Owners[s.Key]; s.tx.grant.workspace != "" && (!ok || workspace != s.tx.grant.workspace) {
 		return s.refusal(reply.KeyRefused, "key-withdrawn", "the key was withdrawn; the transaction is rolled back", 0)
 	}
+	if s.tx.attempt != nil && !s.tx.ran && !s.Config.MaySend(s.tx.attempt.server.ID) {
+		return s.refusal(reply.Aborted, "instance-leaving", "the instance leaves and takes no new work; the transaction is rolled back", noPrimaryRetryAfter)
+	}
 	if s.tx.attempt == nil || !s.Config.Evacuated(s.tx.attempt.server.DataCentre) {
 		s.tx.evacuatedSince = time.Time{}
 		return nil
@@ -212,6 +217,7 @@
 	a := s.tx.attempt
 	a.deadline = deadline
 	s.lastDecision = newDecision(a.view, a.server.ID)
+	s.tx.ran = true
 	return a.do(ctx, &task.Task{
 		Kind:          task.InTransaction,
 		Query:         q,
--- a/internal/services/views/views_test.go
+++ b/internal/services/views/views_test.go
@@ -29,6 +29,7 @@
 func (t *tables) Server(string) (server.Server, bool)     { return server.Server{}, false }
 func (t *tables) Missing(string) bool                     { return false }
 func (t *tables) LeavingFor(string) (time.Duration, bool) { return 0, false }
+func (t *tables) AcceptsWork(string) bool                 { return true }
 func (t *tables) Evacuated(string) bool                   { return false }
 func (t *tables) AsOf(string) time.Duration               { return uptime.Now() - t.renewed }
 
--- a/internal/standin/simenv/simenv.go
+++ b/internal/standin/simenv/simenv.go
@@ -59,6 +59,9 @@
 	// memoryMB is more than the hosts of a large fleet take together: all of them run in
 	// one process, which the runtime's limit of one host made collect without end.
 	memoryMB = 8 << 10
+	// DrainTimeout is how long after an instance's announcement that it leaves new work may
+	// reach it.
+	DrainTimeout = 7 * time.Second
 	// GracePeriod is how long a planned stop of a host may take.
 	GracePeriod = 6 * time.Second
 )
@@ -449,6 +452,7 @@
 		StoreAddress:   StoreAddress,
 		OrderAddress:   orderAddress,
 		GracePeriod:    GracePeriod,
+		DrainTimeout:   DrainTimeout,
 		RateWindow:     5 * time.Second,
 		RateOverage:    0.1,
 		RateTolerance:  20,
