Use a leaving instance until shortly before the bound

A statement that waits too long is refused by the check before it is sent, so that the choice of an instance needs no margin for the longest wait: callers lost a second of a leaving primary that nothing can replace. The margin is now the usual wait, 0.25 s.

--- a/internal/models/leave/leave.go
+++ b/internal/models/leave/leave.go
@@ -5,10 +5,10 @@
 import "time"
 
 const (
-	// queueMargin is the longest time from the choice of an instance to the last check
-	// before a statement is sent to it: a wait for a connection here and one at the
-	// holder, and opening a connection.
-	queueMargin = time.Second
+	// queueMargin is the usual time from the choice of an instance to the last check
+	// before a statement is sent to it: a wait for a connection. What waits for longer is
+	// refused by that check.
+	queueMargin = 250 * time.Millisecond
 	// wayMargin is the longest time from that check to the statement's arrival.
 	wayMargin = 200 * time.Millisecond
 	// maxMarginFraction bounds the margins, as fractions of a short timeout.
