Run reads on replicas that leave while no other instance can

Where the primary was past its time for leaving and all replicas had announced that they leave, reads were refused although the replicas accepted work. They are now sent there until the same bound. TestLeavingReplicas failed before (no read succeeded) and checks the bound.

--- a/internal/services/dbview/choose.go
+++ b/internal/services/dbview/choose.go
@@ -56,19 +56,32 @@
 	return servers, ""
 }
 
-// candidates returns the instances that may run a read; see ReadCandidates.
+// candidates returns the instances that may run a read; see ReadCandidates. While the others
+// and the primary can't, replicas that leave do so as long as they accept work.
 func (v *View) candidates(minPosition logpos.Position, now time.Duration) []candidate {
+	list := v.candidatesThat(false, minPosition, now)
+	if len(list) > 0 {
+		return list
+	}
+	if _, reason := v.primary(); reason == "" {
+		return nil
+	}
+	return v.candidatesThat(true, minPosition, now)
+}
+
+// candidatesThat returns the instances that may run a read, and that leave or do not.
+func (v *View) candidatesThat(leave bool, minPosition logpos.Position, now time.Duration) []candidate {
 	l, _ := v.leader()
 	var list []candidate
 	for _, s := range v.tables.Servers(v.service) {
-		if s.Draining || v.tables.Missing(s.ID) || v.tables.Evacuated(s.DataCentre) || v.fails(s.ID) {
+		if s.Draining != leave || !v.tables.AcceptsWork(s.ID) || v.tables.Missing(s.ID) || v.tables.Evacuated(s.DataCentre) || v.fails(s.ID) {
 			continue
 		}
 		primary := s.ID == l.Primary
 		if in := v.instance(s.ID); !primary && in.lagUntil > now && minPosition.Newer(in.applied) {
 			continue
 		}
-		if primary && (l.Phase != leader.Settled || !v.hasLease(s.ID)) {
+		if primary && (leave || l.Phase != leader.Settled || !v.hasLease(s.ID)) {
 			continue
 		}
 		list = append(list, candidate{
--- a/internal/services/dbview/dbview.go
+++ b/internal/services/dbview/dbview.go
@@ -202,6 +202,10 @@
 func (v *View) Primary() (s server.Server, reason string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.primary()
+}
+
+func (v *View) primary() (s server.Server, reason string) {
 	l, _ := v.leader()
 	if l.Phase != leader.Settled {
 		return server.Server{}, "primary-changing"
--- a/internal/standin/simenv/leave_test.go
+++ b/internal/standin/simenv/leave_test.go
@@ -138,6 +138,32 @@
 	})
 }
 
+// TestLeavingReplicas guards against reads that are refused although replicas that leave
+// still accept them, and against reads that reach such a replica too late.
+func TestLeavingReplicas(t *testing.T) {
+	const hosts = 6
+	const later = 3 * time.Second
+	runScript(t, hosts, func(is *is.I, env *simenv.Environment) {
+		env.Store.SetFault(func(_ string, write bool) string {
+			if write {
+				return rowsrv.Silent // no failover
+			}
+			return ""
+		})
+		first := announceLeave(is, env, "i-1")
+		time.Sleep(later)
+		last := announceLeave(is, env, "i-2")
+		announceLeave(is, env, "i-3")
+		time.Sleep(time.Until(first.Add(simenv.DrainTimeout)))
+		done, failed, _ := sendStatements(env, hosts, "bounded", "READ item", first.Add(simenv.DrainTimeout+later/2))
+		is.True(done > 0)
+		is.Equal(failed, 0)
+		_, _, _ = sendStatements(env, hosts, "bounded", "READ item", last.Add(simenv.DrainTimeout+2*time.Second))
+		is.Equal(countLate(env, "i-1", first.Add(simenv.DrainTimeout)), 0)
+		is.Equal(countLate(env, "i-2", last.Add(simenv.DrainTimeout)), 0)
+	})
+}
+
 // TestLeavingTransactions guards against a transaction that begins in time and sends its
 // first statement to a leaving primary too late, and against cutting off one that has run
 // statements.
