Count an evacuation from when it was ordered, not from a transaction's next statement

A transaction at an evacuated data centre might go on for 3 s after its first statement there, so that one that was idle for 2.8 s sent statements 5.3 s after the evacuation; 5 s are allowed.

The mirror now keeps until when a data centre is known to have been in service, and statements of open transactions are sent until shortly before the bound, which comes from the deployment's parameters (evacuation-timeout, 5 s without it). TestEvacuatedTransaction failed before in both cases, on a replica and on a primary without a successor.

--- a/internal/modules/conf/conf.go
+++ b/internal/modules/conf/conf.go
@@ -20,9 +20,10 @@
 	// minMemoryMB and minFiles are what a host needs before it serves any caller.
 	minMemoryMB = 32
 	minFiles    = 256
-	// minDrainTimeout leaves time for hearing of the announcement.
-	minDrainTimeout = 500 * time.Millisecond
-	maxDrainTimeout = time.Hour
+	// minLeaveTimeout leaves time for hearing that an instance or a data centre leaves.
+	minLeaveTimeout          = 500 * time.Millisecond
+	maxLeaveTimeout          = time.Hour
+	defaultEvacuationTimeout = 5 * time.Second
 	// Bounds of the settings of the usage reports. A holder writes to the store within
 	// a part of the lease, and a successor reports within the delay.
 	minReportWindow = time.Second
@@ -69,6 +70,9 @@
 	// DrainTimeout is how long after an instance's announcement that it leaves new work
 	// may reach it; 0 for no bound.
 	DrainTimeout time.Duration `yaml:"drain-timeout"`
+	// EvacuationTimeout is how long after operators took a data centre out of service
+	// statements of open transactions may reach its instances; 5 s if it is absent.
+	EvacuationTimeout time.Duration `yaml:"evacuation-timeout"`
 	// RateWindow is the length of the window in which operators count a
 	// workspace's operations against its rate and burst.
 	RateWindow time.Duration `yaml:"rate-window"`
@@ -154,8 +158,16 @@
 	if s.RateWindow < time.Second {
 		f.AddProblem("rate-window", "is too short to count in", "use 1s or more")
 	}
-	if s.DrainTimeout != 0 && (s.DrainTimeout < minDrainTimeout || s.DrainTimeout > maxDrainTimeout) {
-		f.AddProblem("drain-timeout", "is out of range", fmt.Sprintf("use %s to %s, or leave it out", minDrainTimeout, maxDrainTimeout))
+	for key, d := range map[string]time.Duration{
+		"drain-timeout":      s.DrainTimeout,
+		"evacuation-timeout": s.EvacuationTimeout,
+	} {
+		if d != 0 && (d < minLeaveTimeout || d > maxLeaveTimeout) {
+			f.AddProblem(key, "is out of range", fmt.Sprintf("use %s to %s, or leave it out", minLeaveTimeout, maxLeaveTimeout))
+		}
+	}
+	if s.EvacuationTimeout == 0 {
+		s.EvacuationTimeout = defaultEvacuationTimeout
 	}
 	s.checkUsage(f)
 	if s.MemoryMB < minMemoryMB {
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -260,6 +260,9 @@
 	h.mirror.Leave = leave.Bound{
 		Timeout: h.Settings.DrainTimeout,
 	}
+	h.mirror.Evacuation = leave.Bound{
+		Timeout: h.Settings.EvacuationTimeout,
+	}
 	h.stats = stats.New()
 	h.views = views.New(func(service string) *dbview.View {
 		v := dbview.New(service, self.DataCentre, mirror.Fleet, h.mirror, registrar)
--- a/internal/services/mirror/build.go
+++ b/internal/services/mirror/build.go
@@ -38,7 +38,7 @@
 		policy:               old.policy,
 		policyRowVersion:     old.policyRowVersion,
 		policyRow:            old.policyRow,
-		evacuated:            map[string]bool{},
+		evacuated:            map[string]time.Duration{},
 		servers:              map[string]server.Server{},
 		missing:              map[string]time.Duration{},
 		leaders:              map[string]leader.Leader{},
@@ -103,10 +103,13 @@
 // buildOperators decodes the evacuated data centres and the newest configuration.
 // Soon after the store was restored, what this host knew before holds on.
 func (m *Mirror) buildOperators(next, old *snapshot) {
-	rows, version, _ := m.Copy(Operators)
+	rows, _, formerUntil := m.tables[Operators].rowsForSnapshot()
 	for _, r := range rows {
 		if dc, ok := m.decoder.Evacuated(r.Key); ok {
-			next.evacuated[dc] = true
+			next.evacuated[dc] = formerUntil
+			if since, ok := old.evacuated[dc]; ok {
+				next.evacuated[dc] = since
+			}
 		}
 		if m.decoder.IsPolicy(r.Key) && r.Version > next.policyRowVersion {
 			next.policyRowVersion = r.Version
@@ -121,7 +124,7 @@
 			m.buildPolicy(next, r)
 		}
 	}
-	next.policyLost = next.policy != nil && tuple.Era(version) > tuple.Era(next.policyRow.Version)
+	next.policyLost = next.policy != nil && tuple.Era(m.Version(Operators)) > tuple.Era(next.policyRow.Version)
 }
 
 // buildPolicy decodes a configuration. One that can't be decoded, or whose version
--- a/internal/services/mirror/leaving.go
+++ b/internal/services/mirror/leaving.go
@@ -43,6 +43,13 @@
 	return !leaving || m.Leave.MaySend(age)
 }
 
+// MayContinue reports whether a transaction that is open in a data centre may go on: the data
+// centre is in service, or was taken out so lately that a statement arrives in time.
+func (m *Mirror) MayContinue(dataCentre string) bool {
+	since, ok := m.current.Load().evacuated[dataCentre]
+	return !ok || m.Evacuation.MaySend(uptime.Now()-since)
+}
+
 // trackDepartures notes since when instances have been leaving. formerUntil is until when
 // the servers of the last snapshot were the newest state.
 func (next *snapshot) trackDepartures(old *snapshot, formerUntil time.Duration) {
--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -71,8 +71,10 @@
 // Mirror holds copies of the tables, and a snapshot decoded from them. It is
 // safe for concurrent use.
 type Mirror struct {
-	// Leave bounds the work of instances that leave. It is set before the first use.
-	Leave leave.Bound
+	// Leave bounds the work of instances that leave, and Evacuation that in data centres
+	// that are taken out of service. They are set before the first use.
+	Leave      leave.Bound
+	Evacuation leave.Bound
 
 	source  source
 	decoder decoder
@@ -145,8 +147,10 @@
 	// policyLost is set.
 	policyRow  tuple.Tuple
 	policyLost bool
-	evacuated  map[string]bool
-	servers    map[string]server.Server
+	// evacuated holds, for each data centre that is out of service, the last time at which
+	// it is known to have been in service.
+	evacuated map[string]time.Duration
+	servers   map[string]server.Server
 	// byService are the servers of each service, by id, and services the names of the
 	// services in the policy: several parts of a host ask for them for each service
 	// ten times a second.
@@ -221,7 +225,8 @@
 
 // Evacuated reports whether operators took a data centre out of service.
 func (m *Mirror) Evacuated(dataCentre string) bool {
-	return m.current.Load().evacuated[dataCentre]
+	_, ok := m.current.Load().evacuated[dataCentre]
+	return ok
 }
 
 // Servers returns the instances of a service that may be used, those that are
--- a/internal/services/sess/sess.go
+++ b/internal/services/sess/sess.go
@@ -27,7 +27,7 @@
 // config gives the configuration in force.
 type config interface {
 	Policy() *policy.Policy
-	Evacuated(dataCentre string) bool
+	MayContinue(dataCentre string) bool
 	MaySend(instance string) bool
 	Changed() <-chan struct{}
 }
--- a/internal/services/sess/tx.go
+++ b/internal/services/sess/tx.go
@@ -13,11 +13,6 @@
 	"wasabislip.example/wasabislip/pkg/model/route"
 )
 
-// evacuationGrace is how long a transaction may go on at an instance whose data
-// centre was taken out of service. An evacuation must be over after 5 s; the
-// rest is for hearing of it and for ending the last statement.
-const evacuationGrace = 3 * time.Second
-
 // transaction is the open transaction of a session. It keeps one connection from
 // its start at an instance until its end.
 type transaction struct {
@@ -37,9 +32,6 @@
 	// abortReply says why the proxy ended the transaction; nil once the caller
 	// was told.
 	abortReply *reply.Reply
-	// evacuatedSince is since when the instance's data centre has been out of
-	// service.
-	evacuatedSince time.Time
 	// notifyEnd tells the view that a transaction on the primary has ended.
 	notifyEnd func()
 	// started is closed once the start at an instance has succeeded or failed.
@@ -122,17 +114,14 @@
 	if workspace, ok := p.Owners[s.Key]; s.tx.grant.workspace != "" && (!ok || workspace != s.tx.grant.workspace) {
 		return s.refusal(reply.KeyRefused, "key-withdrawn", "the key was withdrawn; the transaction is rolled back", 0)
 	}
-	if s.tx.attempt != nil && !s.tx.ran && !s.Config.MaySend(s.tx.attempt.server.ID) {
-		return s.refusal(reply.Aborted, "instance-leaving", "the instance leaves and takes no new work; the transaction is rolled back", noPrimaryRetryAfter)
-	}
-	if s.tx.attempt == nil || !s.Config.Evacuated(s.tx.attempt.server.DataCentre) {
-		s.tx.evacuatedSince = time.Time{}
+	if s.tx.attempt == nil {
 		return nil
 	}
-	if s.tx.evacuatedSince.IsZero() {
-		s.tx.evacuatedSince = time.Now()
+	at := s.tx.attempt.server
+	if !s.tx.ran && !s.Config.MaySend(at.ID) {
+		return s.refusal(reply.Aborted, "instance-leaving", "the instance leaves and takes no new work; the transaction is rolled back", noPrimaryRetryAfter)
 	}
-	if time.Since(s.tx.evacuatedSince) < evacuationGrace {
+	if s.Config.MayContinue(at.DataCentre) {
 		return nil
 	}
 	return s.refusal(reply.Aborted, "evacuated", "the instance's data centre was taken out; the transaction is rolled back", busyRetryAfter)
--- a/internal/standin/simenv/leave_test.go
+++ b/internal/standin/simenv/leave_test.go
@@ -191,3 +191,40 @@
 		}
 	})
 }
+
+// TestEvacuatedTransaction guards against a transaction whose statements reach an evacuated
+// data centre after the bound, since the time counts from its next statement.
+func TestEvacuatedTransaction(t *testing.T) {
+	const bound = simenv.EvacuationTimeout
+	dataCentre := map[string]string{"i-1": "a", "i-2": "b", "i-3": "c"}
+	play := func(what, database, begin, statement string, isolate func(env *simenv.Environment)) {
+		t.Run(what, func(t *testing.T) {
+			runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+				c, _, _ := env.OpenSession(0, database, "key-one")
+				defer c.Close()
+				isolate(env)
+				is.True(c.Do(begin).OK())
+				is.True(c.Do(statement).OK())
+				runs := env.Group.Executions()
+				instance := runs[len(runs)-1].Instance
+				env.Store.Put(decode.OperatorTable, "evacuate/"+dataCentre[instance], map[string]any{})
+				evacuated := time.Now()
+				for _, after := range []time.Duration{2800 * time.Millisecond, bound + 300*time.Millisecond} {
+					time.Sleep(time.Until(evacuated.Add(after))) // idle transactions end after 3 s
+					c.Do(statement)
+				}
+				is.True(len(env.Group.Executions()) > len(runs)) // it may go on for a while
+				for _, x := range env.Group.Executions() {
+					is.True(x.Instance != instance || x.At.Before(evacuated.Add(bound)))
+				}
+			})
+		})
+	}
+	play("on a replica", "bounded", "BEGIN READ", "READ item", func(*simenv.Environment) {})
+	play("on a primary without a successor", "strict", "BEGIN", "WRITE item 1", func(env *simenv.Environment) {
+		for _, id := range []string{"i-2", "i-3"} {
+			env.ExpireHeartbeat(id)
+		}
+		time.Sleep(lapseTime)
+	})
+}
--- a/internal/standin/simenv/simenv.go
+++ b/internal/standin/simenv/simenv.go
@@ -62,6 +62,9 @@
 	// DrainTimeout is how long after an instance's announcement that it leaves new work may
 	// reach it.
 	DrainTimeout = 7 * time.Second
+	// EvacuationTimeout is how long after operators took a data centre out of service
+	// statements may reach its instances.
+	EvacuationTimeout = 5 * time.Second
 	// GracePeriod is how long a planned stop of a host may take.
 	GracePeriod = 6 * time.Second
 )
@@ -441,24 +444,25 @@
 		ip:      ip,
 	}
 	settings := &conf.Settings{
-		Host:           fmt.Sprintf("host-%d", i),
-		DataCentre:     dc,
-		CallerAddress:  ip + callerPort,
-		ReadyAddress:   ip + readyPort,
-		PeerAddress:    ip + peerPort,
-		RunAddress:     ip + runPort,
-		MetricsAddress: ip + metricsPort,
-		Seeds:          HostIP(0) + peerPort,
-		StoreAddress:   StoreAddress,
-		OrderAddress:   orderAddress,
-		GracePeriod:    GracePeriod,
-		DrainTimeout:   DrainTimeout,
-		RateWindow:     5 * time.Second,
-		RateOverage:    0.1,
-		RateTolerance:  20,
-		MemoryMB:       memoryMB,
-		MaxFiles:       4200,
-		InstanceChoice: e.InstanceChoice,
+		Host:              fmt.Sprintf("host-%d", i),
+		DataCentre:        dc,
+		CallerAddress:     ip + callerPort,
+		ReadyAddress:      ip + readyPort,
+		PeerAddress:       ip + peerPort,
+		RunAddress:        ip + runPort,
+		MetricsAddress:    ip + metricsPort,
+		Seeds:             HostIP(0) + peerPort,
+		StoreAddress:      StoreAddress,
+		OrderAddress:      orderAddress,
+		GracePeriod:       GracePeriod,
+		DrainTimeout:      DrainTimeout,
+		EvacuationTimeout: EvacuationTimeout,
+		RateWindow:        5 * time.Second,
+		RateOverage:       0.1,
+		RateTolerance:     20,
+		MemoryMB:          memoryMB,
+		MaxFiles:          4200,
+		InstanceChoice:    e.InstanceChoice,
 	}
 	if e.ReportsUsage {
 		settings.ReportWindow = ReportWindow
