Tell a record that the store did not take from a failover that another host took over

The line of a failover whose write had an unknown outcome said that another host had taken it over, also where the record was as before. Now it says that the store did not take it.

--- a/internal/services/failov/steps.go
+++ b/internal/services/failov/steps.go
@@ -53,6 +53,7 @@
 var (
 	errNoCandidate = errors.New("no instance can become the primary")
 	errSuperseded  = errors.New("another host took the failover over")
+	errNotRecorded = errors.New("the store did not take the record; the failover starts again")
 	errRestored    = errors.New("the store was restored from an older copy; the failover starts again")
 	errNotHeld     = errors.New("no replica could be stopped from receiving for the time of a lease, while hosts may still use the former primary; the failover starts again")
 	errNotPromoted = errors.New("the instance did not become the primary in time")
@@ -227,7 +228,11 @@
 		return err
 	}
 	now, at, ok := a.failover.Directory.Leader(a.service)
-	if !ok || now != record {
+	switch {
+	case ok && now == record:
+	case at == version:
+		return errNotRecorded
+	default:
 		return errSuperseded
 	}
 	if era, _ := a.failover.Directory.EraSince(a.failover.FleetTable); era != a.era {
