--- a/internal/standin/rowsrv/rowsrv.go
+++ b/internal/standin/rowsrv/rowsrv.go
@@ -95,12 +95,17 @@
 	if err != nil {
 		panic(err) // a test passed a value that JSON can't hold
 	}
+	s.PutRaw(table, key, raw)
+}
+
+// PutRaw writes a row with any value, which need not be JSON. Faults don't apply.
+func (s *Store) PutRaw(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.apply([]row{{
 		Table: table,
 		Key:   key,
-		Value: raw,
+		Value: value,
 	}}, nil)
 }
 
