Give an instance whose entry is gone no new work after the time for leaving

A primary without an entry and without a successor was used for 4 s of the time in which the store was read.

The entry's absence now counts like an announcement, from the last time at which the store had it, once a copy shows that it was not back within 2.2 s of the first copy without it: entries that lapse in an outage are back by then.

--- a/internal/services/mirror/build.go
+++ b/internal/services/mirror/build.go
@@ -40,7 +40,7 @@
 		policyRow:            old.policyRow,
 		evacuated:            map[string]time.Duration{},
 		servers:              map[string]server.Server{},
-		missing:              map[string]time.Duration{},
+		missing:              map[string]absence{},
 		leaders:              map[string]leader.Leader{},
 		leaderVersions:       map[string]uint64{},
 		registrations:        map[string]host.Host{},
@@ -174,13 +174,16 @@
 		if _, ok := next.servers[id]; ok {
 			continue
 		}
-		since, ok := old.missing[id]
+		a, ok := old.missing[id]
 		if !ok {
-			since = asOf
+			a = absence{
+				since:        asOf,
+				presentUntil: formerUntil,
+			}
 			klog.InfoS("the entry of an instance is gone", "instance", id, "service", s.Service)
 		}
-		if asOf-since < missingGrace {
-			next.missing[id] = since
+		if asOf-a.since < missingGrace {
+			next.missing[id] = a
 			next.servers[id] = s
 		}
 	}
--- a/internal/services/mirror/leaving.go
+++ b/internal/services/mirror/leaving.go
@@ -11,6 +11,14 @@
 // that lapsed may come back.
 const maxAbsent = 1000
 
+// absence is the lack of an instance's entry.
+type absence struct {
+	// since is the as-of time of the first copy that lacks the entry, and presentUntil the
+	// last time at which the store is known to have had it.
+	since        time.Duration
+	presentUntil time.Duration
+}
+
 // departure is an instance's announcement that it leaves.
 type departure struct {
 	// since is the last time at which the instance is known not to have announced it: the
@@ -21,12 +29,19 @@
 	startedMs int64
 }
 
-// LeavingFor returns how long ago, at most, an instance announced that it leaves; false if
-// it has not. It is a very long time if this host never saw the instance without the
-// announcement.
+// LeavingFor returns how long ago, at most, an instance announced that it leaves, or lost its
+// entry for good; false if it did neither. It is a very long time if this host never saw the
+// instance without the announcement.
 func (m *Mirror) LeavingFor(id string) (time.Duration, bool) {
-	d, ok := m.current.Load().departures[id]
-	return uptime.Now() - d.since, ok
+	s := m.current.Load()
+	if d, ok := s.departures[id]; ok {
+		return uptime.Now() - d.since, true
+	}
+	a, ok := s.missing[id]
+	if !ok || m.AsOf(Servers)-a.since < ExpiredFor {
+		return 0, false
+	}
+	return uptime.Now() - a.presentUntil, true
 }
 
 // AcceptsWork reports whether new work may be assigned to an instance: it does not leave, or
--- a/internal/services/mirror/mirror.go
+++ b/internal/services/mirror/mirror.go
@@ -156,9 +156,8 @@
 	// ten times a second.
 	byService map[string][]server.Server
 	services  []string
-	// missing holds, for each instance in servers without an entry, the as-of
-	// time of the first copy that lacks the entry.
-	missing map[string]time.Duration
+	// missing are the instances in servers without an entry.
+	missing map[string]absence
 	// departures are since when instances have been leaving, by id.
 	departures map[string]departure
 	// rewriting says that entries may be older than the servers; see keepLeaving.
@@ -252,11 +251,11 @@
 // instance that is still in use: from the first copy without it to the newest.
 // Time in which nobody read the store does not count.
 func (m *Mirror) MissingFor(id string) time.Duration {
-	since, ok := m.current.Load().missing[id]
+	a, ok := m.current.Load().missing[id]
 	if !ok {
 		return 0
 	}
-	return m.AsOf(Servers) - since
+	return m.AsOf(Servers) - a.since
 }
 
 // Services returns the names of the services in the configuration. The list must not be
--- a/internal/standin/simenv/leave_test.go
+++ b/internal/standin/simenv/leave_test.go
@@ -228,3 +228,29 @@
 		time.Sleep(lapseTime)
 	})
 }
+
+// TestUnregisteredPrimary guards against a primary that gets new work long after its entry was
+// removed, since no other instance can take over and the store was away for a while.
+func TestUnregisteredPrimary(t *testing.T) {
+	const hosts = 6
+	const outage = 2900 * time.Millisecond
+	for _, away := range []time.Duration{0, outage} {
+		t.Run("the store is away for "+away.String(), func(t *testing.T) {
+			runScript(t, hosts, func(is *is.I, env *simenv.Environment) {
+				for _, id := range []string{"i-2", "i-3"} {
+					env.ExpireHeartbeat(id)
+				}
+				time.Sleep(lapseTime)
+				env.ExpireHeartbeat("i-1")
+				gone := time.Now()
+				if away > 0 {
+					env.Store.SetFault(func(string, bool) string { return rowsrv.Busy })
+					time.AfterFunc(away, func() { env.Store.SetFault(nil) })
+				}
+				done, _, _ := sendStatements(env, hosts, "strict", "WRITE item 1", gone.Add(simenv.DrainTimeout+lapseTime))
+				is.True(done > 0)
+				is.Equal(countLate(env, "i-1", gone.Add(simenv.DrainTimeout)), 0)
+			})
+		})
+	}
+}
