--- a/internal/services/coord/coord.go
+++ b/internal/services/coord/coord.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,9 @@
 	// DrainCheckInterval is how often the coordinator checks whether its
 	// primary is drained.
 	DrainCheckInterval = 100 * time.Millisecond
+	// DrainLimit is how long a drained primary gets new runs at most. No planned failover
+	// takes place while no other instance can take over, or runs don't end.
+	DrainLimit = 5 * time.Second
 	// PlannedRetryPause is the pause after a planned failover that did not
 	// succeed.
 	PlannedRetryPause = 5 * time.Second
@@ -98,6 +102,8 @@
 
 	mu      sync.Mutex
 	drained []bool
+	// drainedSince is when this coordinator learned that each instance is drained.
+	drainedSince []time.Time
 	// paused tells that runs wait because the primary is being replaced.
 	paused bool
 	// quiescing tells that Stop holds new runs back until the admitted ones
@@ -125,11 +131,13 @@
 		done:          make(chan struct{}),
 		failedPrimary: -1,
 		drained:       make([]bool, len(database.Instances)),
+		drainedSince:  make([]time.Time, len(database.Instances)),
 		paused:        true,
 		changed:       make(chan struct{}),
 	}
 	for i := range database.Instances {
 		c.drained[i] = database.Instances[i].Drained
+		c.drainedSince[i] = time.Now()
 	}
 	return c
 }
@@ -179,10 +187,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range c.database.Instances {
-		c.drained[i] = false
-		for _, name := range instances {
-			c.drained[i] = c.drained[i] || name == c.database.Instances[i].Name
+		drained := slices.Contains(instances, c.database.Instances[i].Name)
+		if drained && !c.drained[i] {
+			c.drainedSince[i] = time.Now()
 		}
+		c.drained[i] = drained
 	}
 	if e := c.epoch.Load(); e != nil {
 		e.SetDrained(c.drained)
@@ -214,6 +223,14 @@
 	}
 }
 
+// AcceptsRuns reports whether the instance at an index gets new runs: it is not drained, or
+// has been for less than DrainLimit.
+func (c *Coordinator) AcceptsRuns(index int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.drained[index] || time.Since(c.drainedSince[index]) < DrainLimit
+}
+
 // Release ends a run that Admit admitted.
 func (c *Coordinator) Release() {
 	c.mu.Lock()
--- a/internal/services/exec/exec_test.go
+++ b/internal/services/exec/exec_test.go
@@ -260,6 +260,33 @@
 	})
 }
 
+// TestDrainedPrimaryWithoutSuccessor guards against a drained primary that gets new work for
+// good, since no other instance can take over.
+func TestDrainedPrimaryWithoutSuccessor(t *testing.T) {
+	const limit = 5 * time.Second
+	withFakeGroup(t, func(is *is.I, _ context.Context, g *fakeGroup, _ *fakeTable, h *host) {
+		acknowledged(is, h.write(t, "x"))
+		old := g.primary()
+		h.coordinator.SetDrained([]string{"a", "b", "c"})
+		start := time.Now()
+		for time.Since(start) < limit-time.Second {
+			acknowledged(is, h.write(t, "y"))
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(time.Until(start.Add(limit)))
+		for range 20 {
+			sent := time.Now()
+			is.Equal(h.write(t, "z").kind, fault.NoPrimary)
+			is.True(time.Since(sent) < 100*time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+		}
+		h.coordinator.SetDrained([]string{old.name})
+		time.Sleep(time.Second)
+		acknowledged(is, h.write(t, "z"))
+		is.True(g.primary() != old)
+	})
+}
+
 func TestOpenTransactions(t *testing.T) {
 	withFakeGroup(t, func(is *is.I, _ context.Context, g *fakeGroup, _ *fakeTable, h *host) {
 		acknowledged(is, h.write(t, "x"))
--- a/internal/services/exec/place.go
+++ b/internal/services/exec/place.go
@@ -7,6 +7,7 @@
 	"wasabislip.example/wasabislip/internal/models/view"
 	"wasabislip.example/wasabislip/internal/modules/dbconn"
 	"wasabislip.example/wasabislip/internal/modules/declog"
+	"wasabislip.example/wasabislip/internal/services/coord"
 	"wasabislip.example/wasabislip/internal/services/epoch"
 	"wasabislip.example/wasabislip/pkg/model/fault"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
@@ -33,6 +34,14 @@
 		index, reason = r.awaitReplica(ctx, index, skip)
 	}
 	database := r.executor.coordinator.Database()
+	if !r.executor.coordinator.AcceptsRuns(index) {
+		f := fault.New(
+			fault.NoPrimary,
+			"instance "+database.Instances[index].Name+" is drained, and no other instance of "+database.Name+" has taken over",
+			"restore an instance, or send the request again",
+		)
+		return 0, f.WithRetryAfter(coord.MaxBackoff)
+	}
 	decision := "run-on-replica"
 	if index == v.Primary {
 		decision = "run-on-primary"
