--- a/internal/services/failov/failov.go
+++ b/internal/services/failov/failov.go
@@ -346,7 +346,7 @@
 
 // noteBlocked logs, whenever that changes, why no instance can take over.
 func (f *Failover) noteBlocked(service string, l leader.Leader, state *serviceState, found cause) {
-	var others []string
+	others := []string{}
 	for _, s := range f.Directory.Servers(service) {
 		if s.ID != l.Primary {
 			others = append(others, s.ID+" "+f.unfitness(s))
