Let a replica that leaves show that another holds every acknowledged write

With synchronous replicas a crashed primary was not replaced while a replica was leaving: the leaving one counted among those that have to answer, but was not asked. No write succeeded until it had gone, more than 12 s.

Replicas that can't be promoted are asked too. One that answers that it received no more than the best candidate counts as an answer; one that received more keeps the candidate from being promoted, as before. The first new case of TestAcknowledged failed before; the second guards the condition.

--- a/internal/services/failov/choose.go
+++ b/internal/services/failov/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -31,6 +32,26 @@
 	return c.report.Received.Newer(other.report.Received)
 }
 
+// countOutdone returns how many replicas that can't be promoted, such as one that leaves,
+// answer that the candidate holds all that they have received.
+func (a *attempt) countOutdone(ctx context.Context, best candidate, candidates []server.Server) int {
+	n := 0
+	for _, s := range a.failover.Directory.Servers(a.service) {
+		if s.ID == a.record.FormerPrimary || slices.Contains(candidates, s) {
+			continue
+		}
+		r, outcome, err := a.failover.Prober.Status(ctx, s)
+		other := candidate{
+			server: s,
+			report: r,
+		}
+		if err == nil && outcome == reply.Done && !other.isBetter(best) {
+			n++
+		}
+	}
+	return n
+}
+
 // bestCandidate returns the candidate that received most of the log. It returns
 // false unless so many replicas answered that one of them holds every
 // acknowledged commit, or the candidate holds all of the log of a former primary
@@ -39,7 +60,8 @@
 	var best candidate
 	found := false
 	answered := 0
-	for _, s := range a.failover.candidates(a.service, a.record.FormerPrimary) {
+	candidates := a.failover.candidates(a.service, a.record.FormerPrimary)
+	for _, s := range candidates {
 		r, outcome, err := a.failover.Prober.Status(ctx, s)
 		if err != nil || outcome != reply.Done {
 			continue
@@ -58,6 +80,9 @@
 			found = true
 		}
 	}
+	if found && a.failover.Directory.SyncReplicas(a.service) > 0 {
+		answered += a.countOutdone(ctx, best, candidates)
+	}
 	whole := !a.formerLogEnd.IsZero() && !a.formerLogEnd.Newer(best.report.Received)
 	if found && !whole && answered < a.failover.requiredAnswers(a.service, a.record.FormerPrimary) {
 		klog.InfoS("too few replicas answer to replace the primary", "service", a.service, "answered", answered, "former", a.record.FormerPrimary)
--- a/internal/standin/simenv/sync_test.go
+++ b/internal/standin/simenv/sync_test.go
@@ -55,6 +55,34 @@
 			is.Equal(env.Group.Primary(), "i-3")
 		})
 	})
+	t.Run("a replica that leaves shows that another holds every acknowledged write", func(t *testing.T) {
+		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			requireSyncReplica(env)
+			is.True(writeUntil(is, env, 0, time.Second) < time.Second)
+			announceLeave(is, env, "i-3")
+			time.Sleep(2 * time.Second)
+			env.CrashInstance("i-1")
+			is.True(writeUntil(is, env, 0, changeLimit) < changeLimit)
+			is.Equal(env.Group.Primary(), "i-2")
+		})
+	})
+	t.Run("a replica that holds less than one that leaves is not promoted", func(t *testing.T) {
+		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
+			requireSyncReplica(env)
+			env.Group.BlockReplication("i-2", true)
+			time.Sleep(time.Second)
+			is.True(writeUntil(is, env, 0, time.Second) < time.Second)
+			announceLeave(is, env, "i-3")
+			time.Sleep(2 * time.Second)
+			env.CrashInstance("i-1")
+			time.Sleep(2500 * time.Millisecond)
+			is.Equal(len(env.Group.PromotionOrders()), 0)
+			env.StopLeaving("i-3")
+			env.Group.BlockReplication("i-2", false)
+			is.True(writeUntil(is, env, 0, changeLimit) < changeLimit)
+			is.Equal(env.Group.Primary(), "i-3")
+		})
+	})
 	t.Run("without a synchronous replica a planned change of the primary loses nothing", func(t *testing.T) {
 		runScript(t, 6, func(is *is.I, env *simenv.Environment) {
 			l := startLoad(env, 6)
