--- a/internal/services/mirror/leaving.go
+++ b/internal/services/mirror/leaving.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"wasabislip.example/wasabislip/internal/models/tuple"
 	"wasabislip.example/wasabislip/internal/modules/uptime"
 )
 
@@ -95,23 +94,3 @@
 		next.departures[id] = d
 	}
 }
-
-// rowsForSnapshot returns the rows with their time as of AsOf, and until when the rows of
-// the call before were the newest state.
-func (t *table) rowsForSnapshot() (rows []tuple.Tuple, asOf, formerUntil time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	formerUntil = t.snapshotUntil
-	t.snapshotChanges = t.changes
-	t.snapshotUntil = t.asOf
-	return t.list(), t.asOf, formerUntil
-}
-
-// confirm notes that the rows were the newest state at asOf. The caller holds the lock, and
-// has counted a change.
-func (t *table) confirm(asOf time.Duration) {
-	t.asOf = max(t.asOf, asOf)
-	if t.changes == t.snapshotChanges {
-		t.snapshotUntil = t.asOf
-	}
-}
