--- a/internal/standin/simenv/leave_test.go
+++ b/internal/standin/simenv/leave_test.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// sendingHosts is through how many hosts sendStatements sends.
+	sendingHosts = 6
 	// changeLimit is how long a change of primary may take.
 	changeLimit = 12 * time.Second
 	// usableTime is for how long callers may expect a leaving primary that nothing can
@@ -40,12 +42,12 @@
 	return time.Time{}
 }
 
-// sendStatements sends statements of a database through all hosts until a moment. It returns
+// sendStatements sends statements of a database through the first hosts until a moment. It returns
 // how many succeeded and failed, and the longest time that one took.
-func sendStatements(env *simenv.Environment, hosts int, database, statement string, until time.Time) (done, failed int, longest time.Duration) {
+func sendStatements(env *simenv.Environment, database, statement string, until time.Time) (done, failed int, longest time.Duration) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for i := range hosts {
+	for i := range sendingHosts {
 		wg.Go(func() {
 			for time.Now().Before(until) {
 				c, _, ok := env.OpenSession(i, database, "key-one")
@@ -82,17 +84,16 @@
 // TestLeavingPrimary guards against a primary that gets new work long after it announced
 // that it leaves, since no other instance can take over.
 func TestLeavingPrimary(t *testing.T) {
-	const hosts = 6
 	others := []string{"i-2", "i-3"}
 	play := func(what string, within time.Duration, isolate, back func(is *is.I, env *simenv.Environment)) {
 		t.Run(what, func(t *testing.T) {
-			runScript(t, hosts, func(is *is.I, env *simenv.Environment) {
+			runScript(t, sendingHosts, func(is *is.I, env *simenv.Environment) {
 				isolate(is, env)
 				left := announceLeave(is, env, "i-1")
-				_, failed, _ := sendStatements(env, hosts, "strict", "WRITE item 1", left.Add(usableTime))
+				_, failed, _ := sendStatements(env, "strict", "WRITE item 1", left.Add(usableTime))
 				is.Equal(failed, 0)
-				_, _, _ = sendStatements(env, hosts, "strict", "WRITE item 2", left.Add(simenv.DrainTimeout))
-				done, _, longest := sendStatements(env, hosts, "strict", "WRITE item 3", left.Add(2*simenv.DrainTimeout))
+				_, _, _ = sendStatements(env, "strict", "WRITE item 2", left.Add(simenv.DrainTimeout))
+				done, _, longest := sendStatements(env, "strict", "WRITE item 3", left.Add(2*simenv.DrainTimeout))
 				is.Equal(countLate(env, "i-1", left.Add(simenv.DrainTimeout)), 0)
 				is.Equal(done, 0)
 				is.True(longest < within)
@@ -141,9 +142,8 @@
 // TestLeavingReplicas guards against reads that are refused although replicas that leave
 // still accept them, and against reads that reach such a replica too late.
 func TestLeavingReplicas(t *testing.T) {
-	const hosts = 6
 	const later = 3 * time.Second
-	runScript(t, hosts, func(is *is.I, env *simenv.Environment) {
+	runScript(t, sendingHosts, func(is *is.I, env *simenv.Environment) {
 		env.Store.SetFault(func(_ string, write bool) string {
 			if write {
 				return rowsrv.Silent // no failover
@@ -155,10 +155,10 @@
 		last := announceLeave(is, env, "i-2")
 		announceLeave(is, env, "i-3")
 		time.Sleep(time.Until(first.Add(simenv.DrainTimeout)))
-		done, failed, _ := sendStatements(env, hosts, "bounded", "READ item", first.Add(simenv.DrainTimeout+later/2))
+		done, failed, _ := sendStatements(env, "bounded", "READ item", first.Add(simenv.DrainTimeout+later/2))
 		is.True(done > 0)
 		is.Equal(failed, 0)
-		_, _, _ = sendStatements(env, hosts, "bounded", "READ item", last.Add(simenv.DrainTimeout+2*time.Second))
+		_, _, _ = sendStatements(env, "bounded", "READ item", last.Add(simenv.DrainTimeout+2*time.Second))
 		is.Equal(countLate(env, "i-1", first.Add(simenv.DrainTimeout)), 0)
 		is.Equal(countLate(env, "i-2", last.Add(simenv.DrainTimeout)), 0)
 	})
@@ -232,11 +232,10 @@
 // TestUnregisteredPrimary guards against a primary that gets new work long after its entry was
 // removed, since no other instance can take over and the store was away for a while.
 func TestUnregisteredPrimary(t *testing.T) {
-	const hosts = 6
 	const outage = 2900 * time.Millisecond
 	for _, away := range []time.Duration{0, outage} {
 		t.Run("the store is away for "+away.String(), func(t *testing.T) {
-			runScript(t, hosts, func(is *is.I, env *simenv.Environment) {
+			runScript(t, sendingHosts, func(is *is.I, env *simenv.Environment) {
 				for _, id := range []string{"i-2", "i-3"} {
 					env.ExpireHeartbeat(id)
 				}
@@ -247,7 +246,7 @@
 					env.Store.SetFault(func(string, bool) string { return rowsrv.Busy })
 					time.AfterFunc(away, func() { env.Store.SetFault(nil) })
 				}
-				done, _, _ := sendStatements(env, hosts, "strict", "WRITE item 1", gone.Add(simenv.DrainTimeout+lapseTime))
+				done, _, _ := sendStatements(env, "strict", "WRITE item 1", gone.Add(simenv.DrainTimeout+lapseTime))
 				is.True(done > 0)
 				is.Equal(countLate(env, "i-1", gone.Add(simenv.DrainTimeout)), 0)
 			})
--- a/internal/standin/simenv/odd_test.go
+++ b/internal/standin/simenv/odd_test.go
@@ -46,25 +46,24 @@
 // another writer has left an entry among those of the instances, and against taking it for an
 // instance: one that never answers stops failovers where replicas are synchronous.
 func TestOddEntries(t *testing.T) {
-	const hosts = 6
 	play := func(what, id string, entry []byte) {
 		t.Run(what, func(t *testing.T) {
-			runScript(t, hosts, func(is *is.I, env *simenv.Environment) {
+			runScript(t, sendingHosts, func(is *is.I, env *simenv.Environment) {
 				requireSyncReplica(env)
 				env.Store.PutRaw(decode.ServerTable, id, entry)
 				time.Sleep(2 * time.Second)
 				until := time.Now().Add(2 * time.Second)
-				_, failed, _ := sendStatements(env, hosts, "own", "READ item", until)
+				_, failed, _ := sendStatements(env, "own", "READ item", until)
 				is.Equal(failed, 0)
 				// The list is followed: a replica that leaves gets no work.
 				left := announceLeave(is, env, "i-3")
-				_, _, _ = sendStatements(env, hosts, "bounded", "READ item", left.Add(4*time.Second))
+				_, _, _ = sendStatements(env, "bounded", "READ item", left.Add(4*time.Second))
 				is.Equal(countLate(env, "i-3", left.Add(2*time.Second)), 0)
 				env.StopLeaving("i-3")
 				time.Sleep(3 * time.Second)
 				env.CrashInstance("i-1")
 				is.True(writeUntil(is, env, 0, changeLimit) < changeLimit)
-				for i := range hosts {
+				for i := range sendingHosts {
 					is.Equal(env.Metric(i, "wasabislip_panics_recovered"), float64(0))
 				}
 			})
