--- a/internal/models/leave/leave.go
+++ b/internal/models/leave/leave.go
@@ -1,5 +1,5 @@
-// Package leave decides whether an instance that has announced that it leaves may still get
-// work.
+// Package leave decides whether an instance may still get work that has announced that it
+// leaves, or whose data centre was taken out of service.
 package leave
 
 import "time"
@@ -15,10 +15,10 @@
 	maxMarginFraction = 0.25
 )
 
-// Bound says for how long after its announcement an instance may get new work.
+// Bound says for how long after its announcement an instance may get work.
 type Bound struct {
 	// Timeout is the time from the store's acknowledgement of the announcement to the
-	// last arrival of new work; 0 for no bound.
+	// last arrival of work; 0 for no bound.
 	Timeout time.Duration
 }
 
--- a/internal/services/dbview/choose.go
+++ b/internal/services/dbview/choose.go
@@ -59,29 +59,29 @@
 // candidates returns the instances that may run a read; see ReadCandidates. While the others
 // and the primary can't, replicas that leave do so as long as they accept work.
 func (v *View) candidates(minPosition logpos.Position, now time.Duration) []candidate {
-	list := v.candidatesThat(false, minPosition, now)
+	list := v.listCandidates(false, minPosition, now)
 	if len(list) > 0 {
 		return list
 	}
 	if _, reason := v.primary(); reason == "" {
 		return nil
 	}
-	return v.candidatesThat(true, minPosition, now)
+	return v.listCandidates(true, minPosition, now)
 }
 
-// candidatesThat returns the instances that may run a read, and that leave or do not.
-func (v *View) candidatesThat(leave bool, minPosition logpos.Position, now time.Duration) []candidate {
+// listCandidates returns the instances that may run a read and leave, or do not leave.
+func (v *View) listCandidates(leaving bool, minPosition logpos.Position, now time.Duration) []candidate {
 	l, _ := v.leader()
 	var list []candidate
 	for _, s := range v.tables.Servers(v.service) {
-		if s.Draining != leave || !v.tables.AcceptsWork(s.ID) || v.tables.Missing(s.ID) || v.tables.Evacuated(s.DataCentre) || v.fails(s.ID) {
+		if s.Draining != leaving || !v.tables.AcceptsWork(s.ID) || v.tables.Missing(s.ID) || v.tables.Evacuated(s.DataCentre) || v.fails(s.ID) {
 			continue
 		}
 		primary := s.ID == l.Primary
 		if in := v.instance(s.ID); !primary && in.lagUntil > now && minPosition.Newer(in.applied) {
 			continue
 		}
-		if primary && (leave || l.Phase != leader.Settled || !v.hasLease(s.ID)) {
+		if primary && (leaving || l.Phase != leader.Settled || !v.hasLease(s.ID)) {
 			continue
 		}
 		list = append(list, candidate{
