Keep the disruption of review/4 strictly inside its limit

Change: the instance fails never more than 0.45 of the statements that it has run, and none after 6.5 s.

--- a/review/harness/settings.go
+++ b/review/harness/settings.go
@@ -30,16 +30,13 @@
 	if err != nil {
 		return nil, err
 	}
+	until := time.Now().Add(greyTime)
 	if trouble {
-		rng := rand.New(rand.NewPCG(1, 1))
-		f.group.setFails(func(instance, _, _ string) bool {
-			return instance == "i-1" && rng.Float64() < greyShare
-		})
+		f.group.setFails(greyInstance("i-1", until))
 	}
 	expected := &expectedValues{
 		byID: map[string]map[string]string{},
 	}
-	until := time.Now().Add(greyTime)
 	var clients sync.WaitGroup
 	errs := make(chan error, settingsSessions)
 	for n := range settingsSessions {
@@ -65,6 +62,24 @@
 	return violations, nil
 }
 
+// greyInstance returns which statements an instance fails: random ones until a time, and
+// never more than greyShare of those that it has run.
+func greyInstance(id string, until time.Time) func(instance, id, text string) bool {
+	rng := rand.New(rand.NewPCG(1, 1))
+	ran, failed := 0, 0
+	return func(instance, _, _ string) bool {
+		if instance != id || !time.Now().Before(until) {
+			return false
+		}
+		ran++
+		if rng.Float64() >= greyShare || float64(failed+1) > greyShare*float64(ran) {
+			return false
+		}
+		failed++
+		return true
+	}
+}
+
 // expectedValues holds the session values that were acknowledged to the clients before
 // they sent a statement, by the statement's id.
 type expectedValues struct {
