--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -25,8 +25,11 @@
 	heartbeatInterval = 1200 * time.Millisecond
 	// startTime bounds the wait until a host is ready.
 	startTime = 15 * time.Second
-	service   = "ledger"
-	// database is the one that clients use, and accessKey their key.
+	// databases is how many databases there are, each a service of its own, and
+	// instancesEach how many instances a service has, the first of them the primary.
+	databases     = 3
+	instancesEach = 3
+	// database is the one that clients use, of the first service, and accessKey their key.
 	database  = "checkout"
 	accessKey = "key-club"
 	// firstPort is the first port of a host on its own loopback address.
@@ -48,13 +51,14 @@
 	_, _ = fmt.Fprintf(r.out, "%8.3f s  "+format+"\n", append([]any{time.Since(r.began).Seconds()}, args...)...) // the verdict does not depend on it
 }
 
-// fleet is a platform with hosts and one service, all on loopback addresses.
+// fleet is a platform with hosts and services, all on loopback addresses.
 type fleet struct {
 	record *record
 	dir    string
-	group  *group
-	store  *rowsrv.Store
-	hosts  []*hostProcess
+	// group holds the instances of the service that clients use.
+	group *group
+	store *rowsrv.Store
+	hosts []*hostProcess
 
 	storeAddress string
 	orderAddress string
@@ -82,11 +86,6 @@
 		record: rec,
 		dir:    dir,
 		store:  rowsrv.New(),
-		group: &group{
-			service: service,
-			record:  rec,
-			data:    map[string]string{},
-		},
 	}
 	f.store.Put("op", "config", configuration())
 	var err error
@@ -101,9 +100,19 @@
 	if f.orderAddress, err = f.serveHTTP(orders); err != nil {
 		return f, err
 	}
-	for n := range 3 {
-		if err := f.startInstance(n); err != nil {
-			return f, err
+	for k := range databases {
+		g := &group{
+			service: serviceName(k),
+			record:  rec,
+			data:    map[string]string{},
+		}
+		if k == 0 {
+			f.group = g
+		}
+		for n := range instancesEach {
+			if err := f.startInstance(g, k*instancesEach+n, n == 0); err != nil {
+				return f, err
+			}
 		}
 	}
 	for n := range hosts {
@@ -152,21 +161,24 @@
 	return l.Addr().String(), nil
 }
 
+func serviceName(k int) string {
+	return fmt.Sprintf("ledger-%d", k+1)
+}
+
 func zone(n int) string {
 	return []string{"plateau", "almadies", "pikine"}[n%3]
 }
 
-// startInstance starts an instance, the first of which is the primary, and its
-// heartbeat.
-func (f *fleet) startInstance(n int) error {
+// startInstance starts an instance of a service and its heartbeat.
+func (f *fleet) startInstance(g *group, n int, primary bool) error {
 	l, err := listen()
 	if err != nil {
 		return err
 	}
 	i := &instance{
-		group:   f.group,
+		group:   g,
 		id:      fmt.Sprintf("i-%d", n+1),
-		primary: n == 0,
+		primary: primary,
 	}
 	go i.serve(l)
 	done := make(chan struct{})
@@ -181,7 +193,7 @@
 	born := time.Now().UnixMilli()
 	beat := func(sequence int) {
 		f.store.Put("servers", i.id, map[string]any{
-			"service":             service,
+			"service":             g.service,
 			"address":             l.Addr().String(),
 			"zone":                zone(n),
 			"version":             "1.0",
@@ -209,27 +221,34 @@
 
 // configuration is the operators' configuration: the routes of a small deployment.
 func configuration() map[string]any {
-	route := func(host, kind string, staleness int) map[string]any {
+	route := func(host, kind string, staleness, k int) map[string]any {
 		return map[string]any{
 			"host":              host,
 			"type":              kind,
 			"timeout_ms":        800,
 			"target_latency_ms": 200,
 			"priority":          1,
-			"service":           service,
+			"service":           serviceName(k),
 			"max_staleness_ms":  staleness,
 		}
 	}
-	return map[string]any{
-		"version": 1,
-		"routes": []any{
-			route(database, "primary", 0),
-			route("deposit", "read_your_writes", 2500),
-		},
-		"services": []any{map[string]any{
-			"name":            service,
+	routes := []any{route("deposit", "read_your_writes", 2500, 0)}
+	var services []any
+	for k := range databases {
+		host := database
+		if k > 0 {
+			host = fmt.Sprintf("%s-%d", database, k+1)
+		}
+		routes = append(routes, route(host, "primary", 0, k))
+		services = append(services, map[string]any{
+			"name":            serviceName(k),
 			"max_connections": 30,
-		}},
+		})
+	}
+	return map[string]any{
+		"version":  1,
+		"routes":   routes,
+		"services": services,
 		"limits": map[string]any{
 			"txn_idle_ms": 3000,
 		},
@@ -355,8 +374,10 @@
 // in the store yet.
 func (h *hostProcess) waitServing() error {
 	var last error
+	try := 0
 	for limit := time.Now().Add(startTime); time.Now().Before(limit); time.Sleep(200 * time.Millisecond) {
-		c, err := openSession(h.fleet.record, warmUpPrefix+h.name, h.callers)
+		try++
+		c, err := openSession(h.fleet.record, fmt.Sprintf("%s%s.%d", warmUpPrefix, h.name, try), h.callers)
 		if err != nil {
 			last = err
 			continue
--- a/review/harness/settings.go
+++ b/review/harness/settings.go
@@ -18,6 +18,9 @@
 // settingsSessions is how many clients there are.
 const settingsSessions = 6
 
+// stateIdle is the state of a session outside of a transaction.
+const stateIdle = "I"
+
 // thinkTime is the pause of a client between two transactions.
 const thinkTime = 200 * time.Millisecond
 
@@ -100,9 +103,21 @@
 }
 
 // runSettingsClient is one client: it sets a session value in each transaction, and
-// writes once more after it.
+// writes once more after it. It closes its session where PROTOCOL.md says so: after an
+// error in response to SET, and if an operation ends in another state than I.
 func runSettingsClient(f *fleet, n int, until time.Time, expected *expectedValues) error {
-	c, err := openSession(f.record, fmt.Sprintf("client-%d", n), f.hosts[n%len(f.hosts)].callers)
+	for round := 0; time.Now().Before(until); round++ {
+		if err := runSettingsSession(f, fmt.Sprintf("client-%d-%d", n, round), n, until, expected); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// runSettingsSession plays transactions in one session until a time, or until the client
+// has to close the session.
+func runSettingsSession(f *fleet, name string, n int, until time.Time, expected *expectedValues) error {
+	c, err := openSession(f.record, name, f.hosts[n%len(f.hosts)].callers)
 	if err != nil {
 		return err
 	}
@@ -113,27 +128,30 @@
 		expected.note(id, values)
 		return c.doAs(id, text)
 	}
-	set := func(value string) {
-		if a := send("SET board " + value); a.isSuccess() {
+	for turn := 0; time.Now().Before(until); turn++ {
+		last := send("BEGIN")
+		if last.isSuccess() {
+			value := fmt.Sprintf("%d-%d", n, turn)
+			if a := send("SET board " + value); !a.isSuccess() {
+				return nil
+			}
 			values["board"] = value
+			end := "COMMIT"
+			if a := send(fmt.Sprintf("WRITE clock-%d out", n)); !a.isSuccess() {
+				end = "ROLLBACK"
+			}
+			last = send(end)
+			if end == "COMMIT" && last.state == stateIdle {
+				last = send(fmt.Sprintf("WRITE fee-%d %d", n, turn))
+				time.Sleep(thinkTime)
+			}
 		}
-	}
-	for turn := 0; time.Now().Before(until); turn++ {
-		if a := send("BEGIN"); a.lost {
+		if last.lost {
 			return fmt.Errorf("a session was lost")
-		} else if !a.isSuccess() {
-			continue
 		}
-		set(fmt.Sprintf("%d-%d", n, turn))
-		if a := send(fmt.Sprintf("WRITE clock-%d out", n)); !a.isSuccess() {
-			send("ROLLBACK")
-			continue
-		}
-		if a := send("COMMIT"); a.lost {
-			return fmt.Errorf("a session was lost")
+		if last.state != stateIdle {
+			return nil
 		}
-		send(fmt.Sprintf("WRITE fee-%d %d", n, turn))
-		time.Sleep(thinkTime)
 	}
 	return nil
 }
