Log and count answers that may belong to other statements, and callers' violations

Nothing told a statement that was cut at a line feed from an answer that belongs to another statement: a caller's violation of the protocol was logged only at a higher verbosity, and nothing noted an answer's signature.

Package pairs compares each answer of an instance with the statement that waits for it: its signature, the state of the session, and errors that came before on the connection. No answer is treated differently yet.

--- /dev/null
+++ b/internal/models/pairs/pairs.go
@@ -0,0 +1,119 @@
+// Package pairs decides which statement an instance's answer belongs to. Answers of the
+// line protocol come in the order of the statements and name none. An instance that
+// repeats an answer would shift all later ones by one, so that what else an answer says
+// is compared: its signature, the state of the session, and errors that came before.
+package pairs
+
+import (
+	"hash/maphash"
+
+	"wasabislip.example/wasabislip/internal/models/reply"
+)
+
+// Kinds of statements.
+const (
+	// Signed is a read, a write or a commit of a caller: the instance signs its success.
+	Signed = iota
+	// Begin starts a transaction.
+	Begin
+	// Control is any other statement of the proxy itself.
+	Control
+)
+
+// Verdicts on an answer.
+const (
+	// Own answers the statement that waits.
+	Own = iota
+	// Repeated came before, in answer to another statement.
+	Repeated
+	// Ambiguous is an error like one that came before: it answers the statement, or it
+	// is that error again.
+	Ambiguous
+)
+
+const (
+	// unsigned is the signature of a success that the instance does not sign.
+	unsigned = "-"
+	// maxRemembered is how many signed answers of a connection are remembered. A
+	// connection answers a few hundred statements a second at the most.
+	maxRemembered = 256
+)
+
+var seed = maphash.MakeSeed()
+
+// History is what is known of the answers on one connection. The zero value is that of
+// a new connection. One goroutine uses it at a time.
+type History struct {
+	// signed holds the last signed answers; once it is full, next is the oldest.
+	signed []answer
+	next   int
+	// errors has a bit for each outcome of an error that was an answer.
+	errors uint64
+}
+
+// answer identifies a signed answer and its statement by their hashes.
+type answer struct {
+	signature uint64
+	id        uint64
+}
+
+// Match decides whether r answers the statement that waits, of this kind and with this
+// id, and says why if it does not surely. It remembers the answers that may do so.
+func (h *History) Match(kind int, id string, r *reply.Reply) (verdict int, reason string) {
+	if r.Outcome != reply.Done {
+		return h.matchError(r.Outcome)
+	}
+	switch r.Signature {
+	case "":
+		return Repeated, "session-start"
+	case unsigned:
+		return matchUnsigned(kind, r.State)
+	}
+	return h.matchSigned(id, r.Signature)
+}
+
+// matchError matches an error, which has no signature.
+func (h *History) matchError(outcome int) (verdict int, reason string) {
+	bit := uint64(1) << outcome
+	if h.errors&bit != 0 {
+		return Ambiguous, "repeated-error"
+	}
+	h.errors |= bit
+	return Own, ""
+}
+
+// matchUnsigned matches a success of a statement of the proxy itself.
+func matchUnsigned(kind, state int) (verdict int, reason string) {
+	switch {
+	case kind == Signed:
+		return Repeated, "unsigned"
+	case kind == Begin && state != reply.Open:
+		return Repeated, "outside-transaction"
+	}
+	return Own, ""
+}
+
+// matchSigned matches a success that the instance signed. A statement may run twice on a
+// connection, as a read does that is retried.
+func (h *History) matchSigned(id, signature string) (verdict int, reason string) {
+	a := answer{
+		signature: maphash.String(seed, signature),
+		id:        maphash.String(seed, id),
+	}
+	for _, b := range h.signed {
+		if b.signature != a.signature {
+			continue
+		}
+		if b.id == a.id {
+			return Own, ""
+		}
+		return Repeated, "repeated-signature"
+	}
+	if len(h.signed) < maxRemembered {
+		h.signed = append(h.signed, a)
+		return Own, ""
+	}
+	h.signed[h.next] = a
+	h.next = (h.next + 1) % maxRemembered
+	return Own, ""
+}
--- a/internal/modules/stats/stats.go
+++ b/internal/modules/stats/stats.go
@@ -34,6 +34,8 @@
 	primaryChangeSeconds *prometheus.HistogramVec
 	leavingSeconds       prometheus.Histogram
 	blockedChanges       prometheus.Gauge
+	mismatches           *prometheus.CounterVec
+	violations           prometheus.Counter
 }
 
 // New returns metrics in a registry of their own.
@@ -89,12 +91,33 @@
 		Name:      "blocked_primary_changes",
 		Help:      "Services whose primary is to be replaced while no other instance can take over.",
 	})
-	s.registry.MustRegister(s.choices, s.droppedLoads, s.leavingSeconds, s.blockedChanges)
+	s.mismatches = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      "answer_mismatches_total",
+		Help:      "Answers of instances that did not surely belong to the statement that waited for one, by the reason.",
+	}, []string{"reason"})
+	s.violations = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      "caller_protocol_violations_total",
+		Help:      "Callers' connections that ended because a message was not understood.",
+	})
+	s.registry.MustRegister(s.choices, s.droppedLoads, s.leavingSeconds, s.blockedChanges, s.mismatches, s.violations)
 	s.registry.MustRegister(s.answers, s.refusals, s.reads, s.answerSeconds, s.primaryChangeSeconds)
 	s.registry.MustRegister(collectors.NewGoCollector())
 	return s
 }
 
+// RecordMismatch counts an answer of an instance that did not surely belong to the
+// statement that waited for one.
+func (s *Stats) RecordMismatch(reason string) {
+	s.mismatches.WithLabelValues(reason).Inc()
+}
+
+// RecordViolation counts a caller's message that was not understood.
+func (s *Stats) RecordViolation() {
+	s.violations.Inc()
+}
+
 // RecordAnswer counts an answer to a statement and records how long it took.
 func (s *Stats) RecordAnswer(outcome int, took time.Duration) {
 	s.answers.WithLabelValues(reply.OutcomeName(outcome)).Inc()
--- a/internal/routers/edge/caller.go
+++ b/internal/routers/edge/caller.go
@@ -41,6 +41,8 @@
 	host    *Host
 	conn    wire.Conn
 	session *sess.Session
+	// lastRequest is the id of the last statement that was read.
+	lastRequest string
 
 	mu sync.Mutex
 	// busy says that a statement was read and is not answered yet.
@@ -173,6 +175,7 @@
 		c.logLost(err)
 		return false
 	}
+	c.lastRequest = q.ID
 	// A statement may lie in the socket's buffer for long while this process is
 	// suspended: a write that ran then would come after later ones of its caller.
 	if c.conn.IsClosed() {
@@ -235,6 +238,11 @@
 	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return
 	}
+	if errors.Is(err, wire.ErrProtocol) {
+		c.host.stats.RecordViolation()
+		c.host.requestLog.LogFailure("a caller's message is not understood; its session ends", "last-request", c.lastRequest, "err", err.Error())
+		return
+	}
 	klog.V(1).InfoS("a caller's connection ended", "err", err.Error())
 }
 
--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -285,6 +285,10 @@
 	h.forwarder = forwd.New(self, h.gossip, h.mirror, h.pools, h.Network.Dial)
 	h.tasks = tasks.New(h.mirror, h.pools, h.rates)
 	h.requestLog = reqlog.New()
+	h.pools.Observer = &mismatches{
+		log:   h.requestLog,
+		stats: h.stats,
+	}
 	h.registerGauges()
 	if h.Settings.InstanceChoice == conf.Even {
 		h.pools.ReportLoad()
--- a/internal/routers/wire/wire.go
+++ b/internal/routers/wire/wire.go
@@ -3,12 +3,16 @@
 package wire
 
 import (
+	"errors"
 	"time"
 
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
 )
 
+// ErrProtocol ends a connection whose caller sent a message that is not understood.
+var ErrProtocol = errors.New("message is not understood; check the protocol's version")
+
 // Conn is a connection to a caller. One goroutine uses it at a time. Only the
 // deadlines and Close may be called concurrently.
 type Conn interface {
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/time/rate"
 
+	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/sched"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/window"
@@ -58,9 +59,18 @@
 	Dial(ctx context.Context, address string) (link.Link, error)
 }
 
+// observer is told of what goes wrong on connections; see package pconn.
+type observer interface {
+	RecordMismatch(instance, request, reason string, r *reply.Reply)
+}
+
 // Pool is the host's connections to one instance. It is safe for concurrent
 // use.
 type Pool struct {
+	// Observer is told of what goes wrong on connections; it may be nil. It is set before
+	// the first connection.
+	Observer observer
+
 	server server.Server
 	dialer dialer
 
--- a/internal/services/pconn/pconn.go
+++ b/internal/services/pconn/pconn.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"wasabislip.example/wasabislip/internal/models/pairs"
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/services/link"
@@ -22,6 +23,13 @@
 	maxPrepared = 200
 )
 
+// observer is told of what goes wrong on connections to instances.
+type observer interface {
+	// RecordMismatch records an answer that does not surely belong to the statement
+	// that waited for one, and why.
+	RecordMismatch(instance, request, reason string, r *reply.Reply)
+}
+
 // Conn is a pooled connection to an instance for one workspace.
 type Conn struct {
 	// Workspace is the workspace that the instance was told.
@@ -35,6 +43,8 @@
 	IdleInTransaction bool
 	// IdleSince is when the connection was last put back into the pool.
 	IdleSince time.Time
+	// Observer is told of answers that belong to other statements; it may be nil.
+	Observer observer
 
 	settings   map[string]string
 	prepared   map[string]string
@@ -44,6 +54,11 @@
 	// have undone them.
 	changedInTransaction bool
 	settingsUnknown      bool
+	// history holds the answers so far; awaited and awaitedID are the kind and the id
+	// of the statement that the caller waits for.
+	history   pairs.History
+	awaited   int
+	awaitedID string
 }
 
 // HasSettings reports whether the connection has exactly these session settings.
@@ -141,10 +156,18 @@
 	c.settingsUnknown = c.settingsUnknown || c.changedInTransaction
 }
 
+// Send queues a caller's statement. The instance runs it once its log has reached
+// minPosition.
+func (c *Conn) Send(q *query.Query, minPosition logpos.Position) {
+	c.awaited, c.awaitedID = pairs.Signed, q.ID
+	c.Link.Send(q, minPosition)
+}
+
 // Begin queues the start of a transaction. The instance waits until its log has
 // reached minPosition.
 func (c *Conn) Begin(readOnly bool, minPosition logpos.Position) {
 	c.changedInTransaction = false
+	c.awaited, c.awaitedID = pairs.Begin, ownID
 	c.Link.Send(&query.Query{
 		ID:       ownID,
 		Kind:     query.Begin,
@@ -185,7 +208,20 @@
 	if err := c.receiveOwn(); err != nil {
 		return reply.Reply{}, err
 	}
-	return c.Link.Receive()
+	r, err := c.Link.Receive()
+	if err != nil {
+		return r, err
+	}
+	c.match(c.awaited, c.awaitedID, &r)
+	return r, nil
+}
+
+// match compares an answer with the statement that waits for one.
+func (c *Conn) match(kind int, id string, r *reply.Reply) {
+	verdict, reason := c.history.Match(kind, id, r)
+	if verdict != pairs.Own && c.Observer != nil {
+		c.Observer.RecordMismatch(c.Instance, id, reason, r)
+	}
 }
 
 // receiveOwn reads the answers to the proxy's own statements. It fails if one of
@@ -197,6 +233,7 @@
 			return err
 		}
 		c.ownPending--
+		c.match(pairs.Control, ownID, &r)
 		if r.Outcome != reply.Done {
 			return fault.New(
 				fault.Overloaded,
--- a/internal/services/pools/pools.go
+++ b/internal/services/pools/pools.go
@@ -9,6 +9,7 @@
 
 	"wasabislip.example/wasabislip/internal/models/holder"
 	"wasabislip.example/wasabislip/internal/models/policy"
+	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/sched"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/services/conns"
@@ -36,8 +37,17 @@
 	Dial(ctx context.Context, address string) (link.Link, error)
 }
 
+// observer is told of what goes wrong on connections; see package pconn.
+type observer interface {
+	RecordMismatch(instance, request, reason string, r *reply.Reply)
+}
+
 // Pools holds the pools. It is safe for concurrent use.
 type Pools struct {
+	// Observer is told of what goes wrong on connections; it may be nil. It is set before
+	// the first pool is made.
+	Observer observer
+
 	config config
 	fleet  fleet
 	dialer dialer
@@ -92,6 +102,7 @@
 		pool:   conns.New(s, p.dialer),
 		server: s,
 	}
+	e.pool.Observer = p.Observer
 	if p.reportsLoad {
 		e.pool.ReportLoad()
 	}
--- a/internal/services/runner/runner.go
+++ b/internal/services/runner/runner.go
@@ -132,7 +132,7 @@
 	if q.Kind == query.Execute {
 		q.Name = r.conn.Prepare(t.Prepared)
 	}
-	r.conn.Link.Send(&q, t.MinPosition)
+	r.conn.Send(&q, t.MinPosition)
 }
 
 // flushAndReceive sends what is queued and reads the answer. It returns the
