Let the soak write data with line feeds, and instances repeat answers

The stand-ins read messages in the product's way, up to any line feed, so that no test could show a statement that is cut there. They read up to CR LF now. Instances can repeat each answer a while later, and refuse statements as busy. The soak checks that instances run the statements that callers sent, with their text, and that callers get the rows that were sent in answer.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -60,12 +60,13 @@
 // writeAndRead writes once and reads once. It returns false when the connection
 // is lost.
 func (s *Soak) writeAndRead(c *simcli.Client, database, workspace, zone, item string, count int, acknowledged *int) bool {
-	a := c.Do(fmt.Sprintf("WRITE %s %d", item, count))
+	data := noteFor(count)
+	a := c.Do("WRITE " + item + " " + data)
 	code := a.Code
 	if a.Lost {
 		code = "lost"
 	}
-	s.checker.recordWrite(item, count, a.ID, code, a.GuaranteesNoEffect(), workspace, zone)
+	s.checker.recordWrite(item, data, a.ID, code, a.GuaranteesNoEffect(), workspace, zone)
 	if a.Lost {
 		return false
 	}
@@ -75,9 +76,11 @@
 	}
 	committedBefore, termBefore := s.group.CommittedValue(item)
 	r := c.Do("READ " + item)
+	s.checker.recordText(r.ID, "READ "+item)
 	committedAfter, termAfter := s.group.CommittedValue(item)
 	if r.OK() {
 		s.checker.checkSignature("read", r.ID, r.Signature)
+		s.checker.checkRows(s.group, r.ID, r.Rows)
 	}
 	if r.OK() && termAfter == termBefore {
 		s.checker.checkRead(database+" statement "+r.ID, item, r.Row(), committedBefore, committedAfter, *acknowledged)
@@ -85,6 +88,20 @@
 	return !r.Lost
 }
 
+// noteFor returns what the write with this number writes: the number and, in most of
+// them, further lines, one in the form of a message. A line feed or a carriage return
+// alone does not end a message.
+func noteFor(count int) string {
+	return strconv.Itoa(count) + []string{"", "\nsecond line", "\r", "\nQUERY forged-" + strconv.Itoa(count) + " WRITE forged 1", "\n"}[count%5]
+}
+
+// countOf returns the number of the write that wrote data.
+func countOf(data string) int {
+	digits, _, _ := strings.Cut(strings.ReplaceAll(data, "\r", "\n"), "\n")
+	count, _ := strconv.Atoi(digits)
+	return count
+}
+
 var errRefused = errors.New("the host refused the session")
 
 // dial opens a session at a host.
@@ -112,6 +129,8 @@
 	withoutEffect map[string]bool
 	// expected is the workspace and the zone of each statement, by its ID.
 	expected map[string][2]string
+	// texts are the texts of the statements that callers sent, by their IDs.
+	texts map[string]string
 }
 
 func newChecker() *checker {
@@ -119,6 +138,7 @@
 		counts:        map[string]int{},
 		withoutEffect: map[string]bool{},
 		expected:      map[string][2]string{},
+		texts:         map[string]string{},
 	}
 }
 
@@ -128,15 +148,29 @@
 	k.problems = append(k.problems, fmt.Sprintf(format, args...))
 }
 
+// Kinds of problems that the summary counts: answers that a caller was given although they
+// belong to other statements, and statements that ran although no caller sent them so.
+const (
+	otherAnswers      = "answers of other statements"
+	changedStatements = "statements that no caller sent"
+)
+
+func (k *checker) count(kind string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counts[kind]++
+}
+
 // recordWrite records the answer to a write; code is the error code, or lost when
 // no answer came.
-func (k *checker) recordWrite(item string, count int, id, code string, guaranteesNoEffect bool, workspace, zone string) {
+func (k *checker) recordWrite(item, data, id, code string, guaranteesNoEffect bool, workspace, zone string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.counts["write "+code]++
 	k.expected[id] = [2]string{workspace, zone}
+	k.texts[id] = "WRITE " + item + " " + data
 	if guaranteesNoEffect {
-		k.withoutEffect[fmt.Sprintf("%s=%d", item, count)] = true
+		k.withoutEffect[item+"="+data] = true
 	}
 }
 
@@ -147,19 +181,33 @@
 	k.mu.Lock()
 	k.counts["read"]++
 	k.mu.Unlock()
-	got, _ := strconv.Atoi(row)
-	before, _ := strconv.Atoi(committedBefore)
-	after, _ := strconv.Atoi(committedAfter)
+	got, before, after := countOf(row), countOf(committedBefore), countOf(committedAfter)
 	need := min(acknowledged, before, after)
 	if got < need {
 		k.addProblem("%s at %s, read %s: got %d, but %d was acknowledged and is committed", statement, time.Now().UTC().Format(timeOfDay), item, got, need)
 	}
 }
 
+// recordText records the text that a caller sent under an id.
+func (k *checker) recordText(id, text string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.texts[id] = text
+}
+
+// checkRows checks that a read returned the rows that an instance sent in answer to it.
+func (k *checker) checkRows(g *linedb.Group, id string, rows []string) {
+	if !g.HasSent(id, rows) {
+		k.count(otherAnswers)
+		k.addProblem("read %s was given the rows %q, which no instance sent in answer to it", id, rows)
+	}
+}
+
 // checkSignature checks that an answer is that to its statement, and not to another
 // one on the same connection.
 func (k *checker) checkSignature(kind, id, signature string) {
 	if signature != "sig-"+id {
+		k.count(otherAnswers)
 		k.addProblem("%s %s was given the answer %q", kind, id, signature)
 	}
 }
@@ -176,6 +224,10 @@
 		}
 	}
 	for _, r := range g.Executions() {
+		if text, ok := k.texts[r.ID]; !ok || text != r.Text {
+			k.count(changedStatements)
+			k.addProblem("%s ran statement %s as %q, but callers sent %q", r.Instance, r.ID, r.Text, text)
+		}
 		want, ok := k.expected[r.ID]
 		if !ok {
 			continue
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -47,6 +47,9 @@
 	running.Go(func() {
 		s.restoreStore(ctx)
 	})
+	running.Go(func() {
+		s.repeatAnswers(ctx)
+	})
 	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		kind := kinds[s.rng.IntN(len(kinds))]
 		d := minFaultDuration + time.Duration(s.rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
@@ -175,5 +178,33 @@
 	}
 }
 
+const (
+	// maxRepeats is how often an instance begins to repeat its answers in a run at the
+	// most.
+	maxRepeats = 4
+	// maxRepeatDelay is how late a repeated answer comes at the most.
+	maxRepeatDelay = 60 * time.Millisecond
+)
+
+// repeatAnswers makes instances send each answer twice, the second time late, for some
+// periods of the run. Its random numbers are its own, so that the other faults of a seed
+// stay the same.
+func (s *Soak) repeatAnswers(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.Seed, repeatStream))
+	for range rng.IntN(maxRepeats + 1) {
+		sleep(ctx, time.Duration(rng.Int64N(int64(maxFaultPause))))
+		id := []string{"i-1", "i-2", "i-3"}[rng.IntN(instanceCount)]
+		d := minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
+		after := 1 + time.Duration(rng.Int64N(int64(maxRepeatDelay)))
+		s.logf("repeat the answers of %s after %s, for %s", id, after.Round(time.Millisecond), d.Round(time.Millisecond))
+		s.group.RepeatAnswers(id, after)
+		sleep(ctx, d)
+		s.group.RepeatAnswers(id, 0)
+	}
+}
+
+// repeatStream is the stream of the random numbers of repeated answers.
+const repeatStream = 3
+
 // restoreStream is the stream of the random numbers of restores.
 const restoreStream = 2
--- a/internal/standin/linedb/linedb.go
+++ b/internal/standin/linedb/linedb.go
@@ -6,6 +6,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -52,6 +54,9 @@
 	outcomes      map[string]*outcome
 	acknowledged  map[string]bool
 	statusQueries int
+	// sentRows holds the rows of the answers to each statement, by its id, joined by
+	// CR LF.
+	sentRows map[string][]string
 }
 
 // CountStatusQueries returns how many status queries the instances have received.
@@ -88,6 +93,12 @@
 	steppedDown bool
 	// loseAnswers tells that callers' statements run but are not answered.
 	loseAnswers bool
+	// repeatAfter is how long after each answer it is sent once more; 0 is never.
+	repeatAfter time.Duration
+	// refuseEvery is the number of the caller's statement that is refused as BUSY, over
+	// and over; 0 is none. received counts them.
+	refuseEvery int
+	received    int
 	// busy tells that status requests and commands are answered BUSY.
 	busy        bool
 	connections int
@@ -217,6 +228,46 @@
 	g.instances[id].loseAnswers = lose
 }
 
+// RepeatAnswers makes an instance send each answer a second time after a while; 0 ends
+// that.
+func (g *Group) RepeatAnswers(id string, after time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.instances[id].repeatAfter = after
+}
+
+// RefuseEvery makes an instance answer every nth read, write or commit with BUSY; 0 ends
+// that.
+func (g *Group) RefuseEvery(id string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.instances[id].refuseEvery = n
+}
+
+// refuses reports whether the instance refuses a statement that it has just received.
+func (inst *instance) refuses() bool {
+	g := inst.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	inst.received++
+	return inst.refuseEvery > 0 && inst.received%inst.refuseEvery == 0
+}
+
+// recordRows records the rows of an answer to the statement id. The caller holds mu.
+func (g *Group) recordRows(id string, rows []string) {
+	if g.sentRows == nil {
+		g.sentRows = map[string][]string{}
+	}
+	g.sentRows[id] = append(g.sentRows[id], strings.Join(rows, "\r\n"))
+}
+
+// HasSent reports whether an instance sent these rows in answer to the statement id.
+func (g *Group) HasSent(id string, rows []string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Contains(g.sentRows[id], strings.Join(rows, "\r\n"))
+}
+
 // SetBusy makes an instance answer status requests and commands with BUSY.
 func (g *Group) SetBusy(id string, busy bool) {
 	g.mu.Lock()
--- a/internal/standin/linedb/session.go
+++ b/internal/standin/linedb/session.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"wasabislip.example/wasabislip/internal/standin/crlf"
 )
 
 // startupTime is how long the start of a new connection holds a slot.
@@ -81,15 +83,30 @@
 	}
 }
 
+// readLine reads one message, up to CR LF. A line feed alone is data.
 func (s *session) readLine() (string, error) {
-	line, err := s.r.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), err
+	return crlf.Read(s.r)
 }
 
 func (s *session) write(format string, args ...any) {
 	_, _ = fmt.Fprintf(s.conn, format+"\r\n", args...) // the host may be gone
 }
 
+// answer writes a whole answer at once. An instance that repeats answers writes it again
+// after a while, between two other answers.
+func (s *session) answer(text string) {
+	s.write("%s", text)
+	g := s.instance.group
+	g.mu.Lock()
+	after := s.instance.repeatAfter
+	g.mu.Unlock()
+	if after > 0 {
+		time.AfterFunc(after, func() {
+			s.write("%s", text)
+		})
+	}
+}
+
 // startup checks the fields of the STARTUP line and takes a place among the
 // instance's connections.
 func (s *session) startup(fields []string) bool {
@@ -145,6 +162,9 @@
 	g := s.instance.group
 	g.mu.Lock()
 	lost := s.instance.loseAnswers && id != "-"
+	if id != "-" && len(rows) > 0 {
+		g.recordRows(id, rows)
+	}
 	g.mu.Unlock()
 	if lost {
 		return
@@ -153,12 +173,12 @@
 	if id != "-" {
 		signature = "sig-" + id
 	}
-	var answer strings.Builder
+	var text strings.Builder
 	for _, r := range rows {
-		fmt.Fprintf(&answer, "DATAROW %s\r\n", r)
+		fmt.Fprintf(&text, "DATAROW %s\r\n", r)
 	}
-	fmt.Fprintf(&answer, "COMPLETE %s\r\n", signature)
-	s.write("%sREADY %s %s", &answer, s.txStatus(), s.appliedPosition())
+	fmt.Fprintf(&text, "COMPLETE %s\r\nREADY %s %s", signature, s.txStatus(), s.appliedPosition())
+	s.answer(text.String())
 }
 
 // fail answers a statement with an error code. An open transaction block fails.
@@ -166,8 +186,7 @@
 	if s.tx != nil {
 		s.tx.failed = true
 	}
-	s.write("ERROR %s %s", code, s.instance.id)
-	s.write("READY %s %s", s.txStatus(), s.appliedPosition())
+	s.answer(fmt.Sprintf("ERROR %s %s\r\nREADY %s %s", code, s.instance.id, s.txStatus(), s.appliedPosition()))
 }
 
 // txStatus returns I outside of a transaction block, T inside one and E
@@ -260,6 +279,10 @@
 		s.fail("ABORTED")
 		return
 	}
+	if s.instance.refuses() {
+		s.fail("BUSY")
+		return
+	}
 	s.occupySlot(g.statementTime())
 	writes := s.tx.writes
 	s.record(id, text)
@@ -340,6 +363,9 @@
 	case s.isBehind(minPosition):
 		s.fail("LAGGING")
 		return
+	case s.instance.refuses():
+		s.fail("BUSY")
+		return
 	case (kind == "WRITE" || inReadWriteTx) && !primary:
 		s.fail("READONLY")
 		return
--- a/internal/standin/simcli/simcli.go
+++ b/internal/standin/simcli/simcli.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"wasabislip.example/wasabislip/internal/standin/crlf"
 )
 
 // sessionCount numbers the sessions, so that no two statements share an id.
@@ -100,12 +102,12 @@
 		_ = c.conn.SetReadDeadline(time.Now().Add(c.AnswerTimeout)) // an error shows in the read
 	}
 	for {
-		line, err := c.r.ReadString('\n')
+		line, err := crlf.Read(c.r)
 		if err != nil {
 			a.Lost = true
 			return a
 		}
-		kind, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+		kind, rest, _ := strings.Cut(line, " ")
 		switch kind {
 		case "DATAROW":
 			a.Rows = append(a.Rows, rest)
