Match an instance's answer to its statement by more than its order

Callers got the answer to another statement, with its rows, after an instance had answered twice (MIXED). Answers of the line protocol name no statement and were matched by their order alone, so that a second answer that came while the next statement was under way was taken for that one's answer, and so were all later ones. Only one that came while the connection was idle was noticed.

A connection now passes over an answer whose signature came before with another statement, one without a signature where the statement is a caller's and the other way round, one from outside of a transaction to its start, and a READY without a COMPLETE. An error has no signature. One like an error that came before on the connection is resolved by a further statement (RESET, or ROLLBACK in a transaction) whose answer must follow. Once an instance was seen to repeat an answer, for a minute no connection to it is used again within 5 s of an answer without a signature.

Not covered: the first sign of repetition being the answer to the start of a transaction whose successor is refused, or two answers without a signature in a row. The instance is not known to repeat answers by then.

--- a/internal/models/pairs/pairs.go
+++ b/internal/models/pairs/pairs.go
@@ -63,15 +63,22 @@
 	if r.Outcome != reply.Done {
 		return h.matchError(r.Outcome)
 	}
-	switch r.Signature {
-	case "":
+	switch {
+	case r.Signature == "":
 		return Repeated, "session-start"
-	case unsigned:
+	case IsUnsigned(r):
 		return matchUnsigned(kind, r.State)
+	case kind != Signed:
+		return Repeated, "signed"
 	}
 	return h.matchSigned(id, r.Signature)
 }
 
+// IsUnsigned reports whether an answer is the success of a statement of the proxy itself.
+func IsUnsigned(r *reply.Reply) bool {
+	return r.Outcome == reply.Done && r.Signature == unsigned
+}
+
 // matchError matches an error, which has no signature.
 func (h *History) matchError(outcome int) (verdict int, reason string) {
 	bit := uint64(1) << outcome
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -103,6 +103,8 @@
 	// hosts is how many hosts send to the instance.
 	hosts int
 	admission
+	// repeatedUntil is until when the instance counts as one that repeats answers.
+	repeatedUntil time.Time
 	// load measures the load that this host puts on the instance; nil if it is not to
 	// be reported.
 	load *loadMeter
@@ -309,7 +311,7 @@
 func (p *Pool) takeIdle(workspace string, settings map[string]string) *pconn.Conn {
 	for {
 		c := p.bestIdle(workspace, settings)
-		if c == nil || c.IsOpen() {
+		if c == nil || c.IsOpen() && !p.isDoubtful(c) {
 			return c
 		}
 		p.open--
@@ -387,6 +389,12 @@
 		_ = c.Link.Close()
 		return
 	}
+	if p.isDoubtful(c) {
+		p.open--
+		_ = c.Link.Close()
+		p.grantWaiting()
+		return
+	}
 	c.IdleSince = time.Now()
 	p.idle = append(p.idle, c)
 	p.grantWaiting()
--- a/internal/services/conns/dial.go
+++ b/internal/services/conns/dial.go
@@ -31,7 +31,7 @@
 			Workspace: workspace,
 			Instance:  p.server.ID,
 			Link:      l,
-			Observer:  p.Observer,
+			Observer:  p,
 		}, nil
 	}
 	p.mu.Lock()
--- a/internal/services/pconn/pconn.go
+++ b/internal/services/pconn/pconn.go
@@ -3,7 +3,6 @@
 package pconn
 
 import (
-	"fmt"
 	"strconv"
 	"time"
 
@@ -11,7 +10,6 @@
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/services/link"
-	"wasabislip.example/wasabislip/pkg/model/fault"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
@@ -23,11 +21,13 @@
 	maxPrepared = 200
 )
 
-// observer is told of what goes wrong on connections to instances.
+// observer is told of answers that an instance repeats.
 type observer interface {
-	// RecordMismatch records an answer that does not surely belong to the statement
-	// that waited for one, and why.
+	// RecordMismatch records an answer that does not belong to the statement that
+	// waited for one, and why.
 	RecordMismatch(instance, request, reason string, r *reply.Reply)
+	// RepeatsAnswers reports whether the instance was seen to repeat an answer of late.
+	RepeatsAnswers() bool
 }
 
 // Conn is a pooled connection to an instance for one workspace.
@@ -43,7 +43,7 @@
 	IdleInTransaction bool
 	// IdleSince is when the connection was last put back into the pool.
 	IdleSince time.Time
-	// Observer is told of answers that belong to other statements; it may be nil.
+	// Observer is told of answers that the instance repeats; it may be nil.
 	Observer observer
 
 	settings   map[string]string
@@ -54,11 +54,19 @@
 	// have undone them.
 	changedInTransaction bool
 	settingsUnknown      bool
-	// history holds the answers so far; awaited and awaitedID are the kind and the id
-	// of the statement that the caller waits for.
-	history   pairs.History
-	awaited   int
-	awaitedID string
+	// history holds the answers so far, awaited the statement that the caller waits for.
+	history pairs.History
+	awaited awaited
+	// inTransaction is set between the answers to the start and to the end of a
+	// transaction.
+	inTransaction bool
+	// unsignedAt are the times, by package uptime, of the last unsigned answers from
+	// outside of a transaction.
+	unsignedAt []time.Duration
+	// unsignedUntil is until when an answer without a signature may come again.
+	unsignedUntil time.Duration
+	// unusable is set once answers may be missing or may come that belong to no statement.
+	unusable bool
 }
 
 // HasSettings reports whether the connection has exactly these session settings.
@@ -96,12 +104,7 @@
 // never inside a transaction: there a session's settings only grow or change.
 func (c *Conn) ApplySettings(settings map[string]string) {
 	if c.settingsUnknown || c.hasOtherSettings(settings) || len(c.prepared) > maxPrepared {
-		c.sendOwn(query.Query{
-			Kind: query.Reset,
-		})
-		clear(c.settings)
-		clear(c.prepared)
-		c.settingsUnknown = false
+		c.reset()
 	}
 	for name, v := range settings {
 		if w, ok := c.settings[name]; ok && w == v {
@@ -119,6 +122,16 @@
 	}
 }
 
+// reset queues the statement that drops session settings and prepared statements.
+func (c *Conn) reset() {
+	c.sendOwn(query.Query{
+		Kind: query.Reset,
+	})
+	clear(c.settings)
+	clear(c.prepared)
+	c.settingsUnknown = false
+}
+
 // hasOtherSettings reports whether the connection has a setting that is not among
 // these.
 func (c *Conn) hasOtherSettings(settings map[string]string) bool {
@@ -159,7 +172,12 @@
 // Send queues a caller's statement. The instance runs it once its log has reached
 // minPosition.
 func (c *Conn) Send(q *query.Query, minPosition logpos.Position) {
-	c.awaited, c.awaitedID = pairs.Signed, q.ID
+	c.awaited = awaited{
+		kind:   pairs.Signed,
+		id:     q.ID,
+		commit: q.Kind == query.Commit,
+		read:   q.Kind == query.Read,
+	}
 	c.Link.Send(q, minPosition)
 }
 
@@ -167,7 +185,10 @@
 // reached minPosition.
 func (c *Conn) Begin(readOnly bool, minPosition logpos.Position) {
 	c.changedInTransaction = false
-	c.awaited, c.awaitedID = pairs.Begin, ownID
+	c.awaited = awaited{
+		kind: pairs.Begin,
+		id:   ownID,
+	}
 	c.Link.Send(&query.Query{
 		ID:       ownID,
 		Kind:     query.Begin,
@@ -177,6 +198,7 @@
 
 // Rollback queues the rollback of a transaction without waiting for its answer.
 func (c *Conn) Rollback() {
+	c.inTransaction = false
 	c.sendOwn(query.Query{
 		Kind: query.Rollback,
 	})
@@ -199,48 +221,8 @@
 	return c.Link.Flush()
 }
 
-// Receive reads the answer to the oldest statement that the caller waits for. It
-// first reads the answers to the proxy's own statements.
-func (c *Conn) Receive(deadline time.Time) (reply.Reply, error) {
-	if err := c.Link.SetReadDeadline(deadline); err != nil {
-		return reply.Reply{}, err
-	}
-	if err := c.receiveOwn(); err != nil {
-		return reply.Reply{}, err
-	}
-	r, err := c.Link.Receive()
-	if err != nil {
-		return r, err
-	}
-	c.match(c.awaited, c.awaitedID, &r)
-	return r, nil
-}
-
-// match compares an answer with the statement that waits for one.
-func (c *Conn) match(kind int, id string, r *reply.Reply) {
-	verdict, reason := c.history.Match(kind, id, r)
-	if verdict != pairs.Own && c.Observer != nil {
-		c.Observer.RecordMismatch(c.Instance, id, reason, r)
-	}
-}
-
-// receiveOwn reads the answers to the proxy's own statements. It fails if one of
-// them was refused.
-func (c *Conn) receiveOwn() error {
-	for c.ownPending > 0 {
-		r, err := c.Link.Receive()
-		if err != nil {
-			return err
-		}
-		c.ownPending--
-		c.match(pairs.Control, ownID, &r)
-		if r.Outcome != reply.Done {
-			return fault.New(
-				fault.Overloaded,
-				fmt.Sprintf("the instance refused a session statement: %s", r.Message),
-				"use another connection",
-			)
-		}
-	}
-	return nil
+// IsUsable reports whether the connection may be used again: all answers to its
+// statements are known to belong to them.
+func (c *Conn) IsUsable() bool {
+	return !c.unusable
 }
--- a/internal/services/runner/runner.go
+++ b/internal/services/runner/runner.go
@@ -162,8 +162,8 @@
 			r.pool.RecordService(time.Since(sentAt))
 		}
 	}
-	if a.State == reply.Idle || !keeps {
-		r.returnConn(a.State == reply.Idle)
+	if !keeps || !r.conn.InTransaction() || !r.conn.IsUsable() {
+		r.returnConn(!r.conn.InTransaction() && r.conn.IsUsable())
 	} else {
 		r.pool.PauseTransaction(r.conn)
 	}
--- a/internal/standin/simcon/simcon.go
+++ b/internal/standin/simcon/simcon.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -13,17 +14,25 @@
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
+// ownID is the id of statements that the proxy sends on its own.
+const ownID = "-"
+
 // Conn answers every statement with success. Its fields are set before use.
 type Conn struct {
 	// RefuseSessions makes StartSession fail as if the instance had too many connections.
 	RefuseSessions bool
-	// State is the session's state in all answers.
+	// State is the session's state in all answers but those to the proxy's own statements
+	// outside of a transaction.
 	State int
-	// Outcome is the outcome of all answers.
+	// Outcome is the outcome of callers' statements and of the starts of transactions.
 	Outcome int
 	// SentKinds holds the kinds of the statements that were sent.
 	SentKinds []int
 
+	// unanswered are the statements that were sent and not answered.
+	unanswered []query.Query
+	signed     int
+
 	peerClosed atomic.Bool
 	closed     atomic.Bool
 }
@@ -51,6 +60,7 @@
 // Send records the kind of a statement.
 func (c *Conn) Send(q *query.Query, _ logpos.Position) {
 	c.SentKinds = append(c.SentKinds, q.Kind)
+	c.unanswered = append(c.unanswered, *q)
 }
 
 // Flush does nothing.
@@ -58,14 +68,37 @@
 	return nil
 }
 
-// Receive returns success, or an error after CloseFromPeer.
+// Receive returns the answer to the oldest statement without one. It fails after
+// CloseFromPeer, and if there is no such statement.
 func (c *Conn) Receive() (reply.Reply, error) {
 	if c.peerClosed.Load() {
 		return reply.Reply{}, errors.New("the connection was reset")
 	}
+	if len(c.unanswered) == 0 {
+		return reply.Reply{}, errors.New("all statements are answered")
+	}
+	q := c.unanswered[0]
+	c.unanswered = c.unanswered[1:]
+	switch {
+	case q.ID == ownID && q.Kind != query.Begin:
+		return reply.Reply{
+			Signature: ownID,
+		}, nil
+	case c.Outcome != reply.Done:
+		return reply.Reply{
+			State:   c.State,
+			Outcome: c.Outcome,
+		}, nil
+	case q.ID == ownID:
+		return reply.Reply{
+			Signature: ownID,
+			State:     c.State,
+		}, nil
+	}
+	c.signed++
 	return reply.Reply{
-		State:   c.State,
-		Outcome: c.Outcome,
+		Signature: fmt.Sprintf("sig-%d", c.signed),
+		State:     c.State,
 	}, nil
 }
 
