--- a/internal/modules/stats/stats.go
+++ b/internal/modules/stats/stats.go
@@ -94,7 +94,7 @@
 	s.mismatches = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace,
 		Name:      "answer_mismatches_total",
-		Help:      "Answers of instances that did not surely belong to the statement that waited for one, by the reason.",
+		Help:      "Answers of instances that were passed over, since they belong to other statements, by the reason.",
 	}, []string{"reason"})
 	s.violations = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace,
@@ -107,8 +107,8 @@
 	return s
 }
 
-// RecordMismatch counts an answer of an instance that did not surely belong to the
-// statement that waited for one.
+// RecordMismatch counts an answer of an instance that was passed over, since it belongs to
+// another statement.
 func (s *Stats) RecordMismatch(reason string) {
 	s.mismatches.WithLabelValues(reason).Inc()
 }
--- a/internal/routers/edge/mismatch.go
+++ b/internal/routers/edge/mismatch.go
@@ -6,18 +6,18 @@
 	"wasabislip.example/wasabislip/internal/modules/stats"
 )
 
-// mismatches logs and counts answers of instances that do not surely belong to the
-// statement that waited for one.
+// mismatches logs and counts answers of instances that were passed over, since they belong
+// to other statements than the one that waited.
 type mismatches struct {
 	log   *reqlog.Logger
 	stats *stats.Stats
 }
 
-// RecordMismatch records such an answer to a request.
+// RecordMismatch records such an answer, which came while request waited for its own.
 func (m *mismatches) RecordMismatch(instance, request, reason string, r *reply.Reply) {
 	m.stats.RecordMismatch(reason)
 	m.log.LogFailure(
-		"an answer does not surely belong to its statement",
+		"an answer of another statement was passed over",
 		"request", request,
 		"instance", instance,
 		"reason", reason,
