--- a/internal/models/pairs/pairs.go
+++ b/internal/models/pairs/pairs.go
@@ -6,6 +6,7 @@
 
 import (
 	"hash/maphash"
+	"time"
 
 	"wasabislip.example/wasabislip/internal/models/reply"
 )
@@ -31,12 +32,15 @@
 	Ambiguous
 )
 
+// MaxDelay is how late a repeated answer is expected at the most.
+const MaxDelay = 5 * time.Second
+
 const (
 	// unsigned is the signature of a success that the instance does not sign.
 	unsigned = "-"
-	// maxRemembered is how many signed answers of a connection are remembered. A
-	// connection answers a few hundred statements a second at the most.
-	maxRemembered = 256
+	// maxRemembered is how many signed answers of a connection are remembered: those of
+	// MaxDelay at 200 statements a second. A connection runs one at a time.
+	maxRemembered = 1024
 )
 
 var seed = maphash.MakeSeed()
@@ -47,8 +51,8 @@
 	// signed holds the last signed answers; once it is full, next is the oldest.
 	signed []answer
 	next   int
-	// errors has a bit for each outcome of an error that was an answer.
-	errors uint64
+	// errors holds when each error came last, by package uptime and by its outcome.
+	errors map[int]time.Duration
 }
 
 // answer identifies a signed answer and its statement by their hashes.
@@ -58,10 +62,11 @@
 }
 
 // Match decides whether r answers the statement that waits, of this kind and with this
-// id, and says why if it does not surely. It remembers the answers that may do so.
-func (h *History) Match(kind int, id string, r *reply.Reply) (verdict int, reason string) {
+// id, and says why if it does not surely. It remembers the answers that may do so. now is
+// the time by package uptime.
+func (h *History) Match(kind int, id string, r *reply.Reply, now time.Duration) (verdict int, reason string) {
 	if r.Outcome != reply.Done {
-		return h.matchError(r.Outcome)
+		return h.matchError(r.Outcome, now)
 	}
 	switch {
 	case r.Signature == "":
@@ -80,12 +85,15 @@
 }
 
 // matchError matches an error, which has no signature.
-func (h *History) matchError(outcome int) (verdict int, reason string) {
-	bit := uint64(1) << outcome
-	if h.errors&bit != 0 {
+func (h *History) matchError(outcome int, now time.Duration) (verdict int, reason string) {
+	last, ok := h.errors[outcome]
+	if h.errors == nil {
+		h.errors = map[int]time.Duration{}
+	}
+	h.errors[outcome] = now
+	if ok && now-last < MaxDelay {
 		return Ambiguous, "repeated-error"
 	}
-	h.errors |= bit
 	return Own, ""
 }
 
--- a/internal/models/pairs/pairs_test.go
+++ b/internal/models/pairs/pairs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -75,7 +76,7 @@
 			is := is.New(t)
 			var h pairs.History
 			for _, s := range steps {
-				verdict, reason := h.Match(s.kind, s.id, &s.answer)
+				verdict, reason := h.Match(s.kind, s.id, &s.answer, time.Second)
 				is.Equal(verdict, s.verdict)
 				is.Equal(reason == "", verdict == pairs.Own)
 			}
@@ -84,13 +85,24 @@
 	t.Run("a signature comes again after many others", func(t *testing.T) {
 		is := is.New(t)
 		var h pairs.History
-		for n := range 1000 {
+		for n := range 3000 {
 			r := signed(fmt.Sprint(n))
-			verdict, _ := h.Match(pairs.Signed, fmt.Sprint(n), &r)
+			verdict, _ := h.Match(pairs.Signed, fmt.Sprint(n), &r, 0)
 			is.Equal(verdict, pairs.Own)
-			r = signed(fmt.Sprint(max(0, n-200)))
-			verdict, _ = h.Match(pairs.Signed, "another", &r)
+			r = signed(fmt.Sprint(max(0, n-1000)))
+			verdict, _ = h.Match(pairs.Signed, "another", &r, 0)
 			is.Equal(verdict, pairs.Repeated)
 		}
 	})
+	t.Run("an error comes once more after the time in which it may be repeated", func(t *testing.T) {
+		is := is.New(t)
+		var h pairs.History
+		r := refused(reply.Busy)
+		for n := range 3 {
+			verdict, _ := h.Match(pairs.Signed, "a", &r, time.Duration(n)*pairs.MaxDelay)
+			is.Equal(verdict, pairs.Own)
+		}
+		verdict, _ := h.Match(pairs.Signed, "a", &r, 3*pairs.MaxDelay-1)
+		is.Equal(verdict, pairs.Ambiguous)
+	})
 }
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -311,9 +311,16 @@
 func (p *Pool) takeIdle(workspace string, settings map[string]string) *pconn.Conn {
 	for {
 		c := p.bestIdle(workspace, settings)
-		if c == nil || c.IsOpen() && !p.isDoubtful(c) {
+		if c == nil {
+			return nil
+		}
+		isOpen := c.IsOpen()
+		if isOpen && !p.isDoubtful(c) {
 			return c
 		}
+		if !isOpen {
+			p.noteUnread(c)
+		}
 		p.open--
 		_ = c.Link.Close()
 	}
--- a/internal/services/conns/repeat.go
+++ b/internal/services/conns/repeat.go
@@ -9,7 +9,7 @@
 
 // repeatMemory is how long after a repeated answer the instance counts as one that
 // repeats answers.
-const repeatMemory = time.Minute
+const repeatMemory = 10 * time.Minute
 
 // RecordMismatch records that the instance repeated an answer; see package pconn.
 func (p *Pool) RecordMismatch(instance, request, reason string, r *reply.Reply) {
@@ -31,5 +31,17 @@
 // isDoubtful reports whether an idle connection may still get the repetition of an answer
 // that can't be told from others. The caller holds mu.
 func (p *Pool) isDoubtful(c *pconn.Conn) bool {
-	return time.Now().Before(p.repeatedUntil) && c.MayRepeat()
+	return time.Now().Before(p.repeatedUntil) && c.MayGetRepeatedAnswer()
+}
+
+// noteUnread records that an answer came on an idle connection, to which no statement
+// waited for one. The caller holds mu.
+func (p *Pool) noteUnread(c *pconn.Conn) {
+	if c.Link.IsClosed() {
+		return
+	}
+	p.repeatedUntil = time.Now().Add(repeatMemory)
+	if p.Observer != nil {
+		p.Observer.RecordMismatch(c.Instance, "", "unread", &reply.Reply{})
+	}
 }
--- a/internal/services/link/link.go
+++ b/internal/services/link/link.go
@@ -40,7 +40,11 @@
 	// SetWriteDeadline sets the deadline of later writes.
 	SetWriteDeadline(t time.Time) error
 	// IsOpen reports whether the instance has left an idle connection open.
+	// Nothing that was not asked for may have arrived on it.
 	IsOpen() bool
+	// IsClosed reports whether the instance has closed the connection and all that it
+	// sent has been read.
+	IsClosed() bool
 	// Close closes the connection. The instance rolls an open transaction back.
 	Close() error
 }
--- a/internal/services/pconn/pconn.go
+++ b/internal/services/pconn/pconn.go
@@ -60,8 +60,7 @@
 	// inTransaction is set between the answers to the start and to the end of a
 	// transaction.
 	inTransaction bool
-	// unsignedAt are the times, by package uptime, of the last unsigned answers from
-	// outside of a transaction.
+	// unsignedAt are the times, by package uptime, of the last unsigned answers.
 	unsignedAt []time.Duration
 	// unsignedUntil is until when an answer without a signature may come again.
 	unsignedUntil time.Duration
@@ -226,3 +225,8 @@
 func (c *Conn) IsUsable() bool {
 	return !c.unusable
 }
+
+// InTransaction reports whether a transaction is open on the connection.
+func (c *Conn) InTransaction() bool {
+	return c.inTransaction
+}
--- a/internal/services/pconn/pconn_test.go
+++ b/internal/services/pconn/pconn_test.go
@@ -18,12 +18,13 @@
 // errSilent is what a read gives once the instance has sent all that it will.
 var errSilent = errors.New("no answer in time")
 
-// instance is a connection to an instance that repeats answers. Each answer is sent again
-// at most once, before or after one that follows.
+// instance is a connection to an instance that repeats answers from some moment on. Each
+// answer is sent again at most once, before or after one that follows.
 type instance struct {
 	link.Link // the other methods are not called
 
-	t *rapid.T
+	t        *rapid.T
+	observer *observer
 	// repeats is the share of the answers that are repeated, refuses that of the
 	// statements that are refused, in percent.
 	repeats int
@@ -46,7 +47,8 @@
 func (i *instance) Flush() error {
 	for _, q := range i.queued {
 		r := i.run(q)
-		if rapid.IntRange(0, 99).Draw(i.t, "repeated") < i.repeats {
+		i.observer.advance()
+		if i.observer.repeats && rapid.IntRange(0, 99).Draw(i.t, "repeated") < i.repeats {
 			at := i.count + rapid.IntRange(0, 3).Draw(i.t, "late")
 			i.late[at] = append(i.late[at], r)
 		}
@@ -69,7 +71,7 @@
 				i.state = reply.Broken
 			}
 			return reply.Reply{
-				Outcome: reply.Busy,
+				Outcome: rapid.SampledFrom([]int{reply.Busy, reply.Lagging, reply.NotPrimary}).Draw(i.t, "error"),
 				State:   i.state,
 			}
 		}
@@ -106,12 +108,24 @@
 
 func (i *instance) SetWriteDeadline(time.Time) error { return nil }
 
-// observer remembers whether an instance repeated an answer.
+// observer knows from the first repetition on that the instance repeats answers, as after
+// one on another connection. That may come in the middle of a transaction.
 type observer struct {
 	repeats bool
+	// statements are how many statements the instance runs before.
+	statements int
+	mismatches int
 }
 
-func (o *observer) RecordMismatch(string, string, string, *reply.Reply) { o.repeats = true }
+func (o *observer) advance() {
+	o.statements--
+	o.repeats = o.repeats || o.statements < 0
+}
+
+func (o *observer) RecordMismatch(string, string, string, *reply.Reply) {
+	o.repeats = true
+	o.mismatches++
+}
 
 func (o *observer) RepeatsAnswers() bool { return o.repeats }
 
@@ -128,12 +142,13 @@
 
 // connect opens a connection if the last one must not be used again.
 func (p *player) connect() {
-	doubtful := p.conn != nil && p.observer.repeats && p.conn.MayRepeat() // the pool closes it
+	doubtful := p.conn != nil && p.observer.repeats && p.conn.MayGetRepeatedAnswer() // the pool closes it
 	if p.conn != nil && p.conn.IsUsable() && !doubtful {
 		return
 	}
 	p.instance = &instance{
 		t:          p.t,
+		observer:   p.observer,
 		repeats:    p.repeats,
 		refuses:    p.refuses,
 		late:       map[int][]reply.Reply{},
@@ -153,9 +168,12 @@
 	if err != nil {
 		p.conn = nil // the runner closes it
 	}
-	if err != nil && p.repeats == 0 {
+	if p.repeats == 0 && !p.observer.repeats && err != nil {
 		p.t.Fatalf("an answer was not accepted, although none was repeated: %v", err)
 	}
+	if p.repeats == 0 && p.observer.mismatches > 0 {
+		p.t.Fatal("an answer was passed over, although none was repeated")
+	}
 	return r, err
 }
 
@@ -202,14 +220,13 @@
 	}
 	if rapid.Bool().Draw(p.t, "commit") {
 		p.do(query.Commit, true)
-		return
 	}
 	p.end()
 }
 
 // end rolls the transaction back as the runner does.
 func (p *player) end() {
-	if p.conn == nil {
+	if p.conn == nil || !p.conn.InTransaction() {
 		return
 	}
 	p.conn.Rollback()
@@ -226,7 +243,7 @@
 		p := &player{
 			t: t,
 			observer: &observer{
-				repeats: true,
+				statements: rapid.IntRange(0, 100).Draw(t, "statements before"),
 			},
 			repeats: rapid.SampledFrom([]int{0, 3, 30, 100}).Draw(t, "repeats"),
 			refuses: rapid.SampledFrom([]int{0, 3, 30}).Draw(t, "refuses"),
--- a/internal/standin/simcon/simcon.go
+++ b/internal/standin/simcon/simcon.go
@@ -137,6 +137,11 @@
 	return !c.peerClosed.Load()
 }
 
+// IsClosed reports whether CloseFromPeer was called.
+func (c *Conn) IsClosed() bool {
+	return c.peerClosed.Load()
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.closed.Store(true)
