Refuse fields that the line protocol can't carry, before anything is sent

Conn.writeLine wrote any field as it was. Statements, ids and session values that other hosts send, and names of workspaces and services from the configuration, could put another message on the wire (CR LF) or shift the fields after them (a blank, nothing). A workspace "one i-1" was announced to instances as "one", and one with CR LF in its name ran a statement of its choice. Error texts with line breaks were several messages to the caller.

Flush then sends nothing of what is queued, so that the statement is certainly not run (BUSY), wherever it is sent. - Such a refusal says nothing of the instance, so it is not counted as its failure and is not tried at other instances.

--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -289,6 +289,9 @@
 		if f := fault.As(failure); f != nil {
 			m.Fault = f.Kind
 			m.Reason = f.Reason
+			if f.Remedy != "" && fault.IsRefusal(f) {
+				m.Reason += "; " + f.Remedy
+			}
 			m.RetryAfterMs = milliseconds(f.RetryAfter)
 		}
 	}
--- /dev/null
+++ b/internal/routers/tasks/wire_test.go
@@ -0,0 +1,147 @@
+package tasks_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	wasabislipv1 "wasabislip.example/wasabislip/internal/gen/wasabislip/v1"
+	"wasabislip.example/wasabislip/internal/models/query"
+	"wasabislip.example/wasabislip/internal/models/server"
+	"wasabislip.example/wasabislip/internal/models/task"
+	"wasabislip.example/wasabislip/internal/routers/tasks"
+	"wasabislip.example/wasabislip/internal/services/conns"
+	"wasabislip.example/wasabislip/internal/services/link"
+	"wasabislip.example/wasabislip/pkg/model/fault"
+	"wasabislip.example/wasabislip/platform/lines"
+)
+
+// wireHost has one instance, which accepts sessions and answers no statement.
+type wireHost struct {
+	*host
+
+	mu   sync.Mutex
+	sent []string
+}
+
+func newWireHost() *wireHost {
+	h := &wireHost{
+		host: newHost(),
+	}
+	h.pool = conns.New(server.Server{
+		ID:      "i-1",
+		Service: "orders",
+		Slots:   3,
+	}, h)
+	h.pool.Resize(10, 1)
+	return h
+}
+
+func (h *wireHost) Dial(context.Context, string) (link.Link, error) {
+	near, far := net.Pipe()
+	go func() {
+		r := bufio.NewReader(far)
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.sent = append(h.sent, line)
+			h.mu.Unlock()
+			if strings.HasPrefix(line, "STARTUP ") {
+				_, _ = io.WriteString(far, "READY I -\r\n") // an error shows at the next read
+			}
+		}
+	}()
+	return lines.New(near), nil
+}
+
+// received returns the messages that the instance got after the starts of sessions.
+func (h *wireHost) received() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []string
+	for _, line := range h.sent {
+		if !strings.HasPrefix(line, "STARTUP orders w i-1\r\n") {
+			list = append(list, line)
+		}
+	}
+	return list
+}
+
+// Guards against tasks of other hosts whose fields would be read as another statement by
+// the instance: they are certainly not run.
+func TestUnwritableTasks(t *testing.T) {
+	const forged = "a\r\nQUERY 77 WRITE forged 1"
+	for name, m := range map[string]*wasabislipv1.Errand{
+		"statement": {Statement: &wasabislipv1.ErrandQuery{
+			Id:   "c1-1",
+			Kind: query.Write,
+			Text: "WRITE k " + forged,
+		}},
+		"id": {Statement: &wasabislipv1.ErrandQuery{
+			Id:   "c1-1 c1-2",
+			Kind: query.Write,
+			Text: "WRITE k 1",
+		}},
+		"workspace": {
+			Workspace: "w\r\nQUERY 77 WRITE forged 1",
+			Statement: &wasabislipv1.ErrandQuery{
+				Id:   "c1-1",
+				Kind: query.Write,
+				Text: "WRITE k 1",
+			},
+		},
+		"prepared statement": {
+			Prepared: "WRITE " + forged,
+			Statement: &wasabislipv1.ErrandQuery{
+				Id:   "c1-1",
+				Kind: query.Execute,
+				Name: "s",
+				Args: "k 1",
+			},
+		},
+		"session values before a transaction": {
+			Kind: task.Begin,
+			Values: map[string]string{
+				"large": strings.Repeat("x", 10000),
+				"note":  forged,
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newWireHost()
+			s := tasks.New(h, h, h)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			go s.Serve(t.Context(), l)
+			defer l.Close()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			m.Instance = "i-1"
+			if m.Workspace == "" {
+				m.Workspace = "w"
+			}
+			m.TimeoutMs = 500
+			_, err = conn.Write(encode(t, m))
+			is.NoErr(err)
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(2 * time.Second)))
+			var a wasabislipv1.ErrandAnswer
+			is.NoErr(protodelim.UnmarshalFrom(bufio.NewReader(conn), &a))
+			is.Equal(a.GetFault(), fault.BadRequest)
+			is.True(strings.Contains(a.GetReason(), "without CR LF"))
+			is.Equal(h.received(), []string(nil))
+		})
+	}
+}
--- a/internal/services/conns/dial.go
+++ b/internal/services/conns/dial.go
@@ -60,6 +60,7 @@
 	_ = l.SetWriteDeadline(deadline)
 	r, err := l.StartSession(p.server.Service, workspace, p.server.ID)
 	switch {
+	case fault.IsRefusal(err): // nothing was sent
 	case err != nil:
 		err = unreachable(p.server.ID, err)
 	case r.Outcome == reply.TooManyConnections:
--- a/internal/services/forwd/remote.go
+++ b/internal/services/forwd/remote.go
@@ -101,9 +101,13 @@
 	}
 	if a.GetFault() != "" {
 		after := time.Duration(a.GetRetryAfterMs()) * time.Millisecond
+		err := fault.New(a.GetFault(), a.GetReason(), "retry later").WithRetryAfter(after)
+		if fault.IsRefusal(err) {
+			err.Remedy = "" // the reason holds it; a retry is refused again
+		}
 		return reply.Reply{
 			Load: r.decodeLoad(a.GetLoad()),
-		}, fault.New(a.GetFault(), a.GetReason(), "retry later").WithRetryAfter(after)
+		}, err
 	}
 	return reply.Reply{
 		Rows:       a.GetRows(),
--- a/internal/services/link/link.go
+++ b/internal/services/link/link.go
@@ -15,12 +15,14 @@
 // statements. Only one goroutine may use it at a time, but Close may be called
 // concurrently.
 type Link interface {
-	// Hello opens the session and reads the answer.
+	// StartSession opens the session and reads the answer. An error for which
+	// fault.IsRefusal holds says that the session can't be opened at any instance.
 	StartSession(service, workspace, id string) (reply.Reply, error)
 	// Send queues a statement. The instance runs it once its log has reached
 	// minPosition.
 	Send(q *query.Query, minPosition logpos.Position)
-	// Flush sends the queued statements.
+	// Flush sends the queued statements. If one of them can't be written, it sends none
+	// and returns an error for which fault.IsRefusal holds.
 	Flush() error
 	// Receive reads the answer to the oldest unanswered statement.
 	Receive() (reply.Reply, error)
--- a/internal/services/runner/runner.go
+++ b/internal/services/runner/runner.go
@@ -263,8 +263,12 @@
 }
 
 // unsent returns the fault for a statement that was not sent whole: what is missing
-// includes the end of its line, without which the instance does not run it.
+// includes the end of its line, without which the instance does not run it. A statement that
+// can't be written at all is refused with its own fault.
 func unsent(id string, err error) error {
+	if fault.IsRefusal(err) {
+		return err
+	}
 	return fault.New(
 		fault.NotRun,
 		"the connection to instance "+id+" failed before the statement was sent",
--- a/internal/services/sess/attempt.go
+++ b/internal/services/sess/attempt.go
@@ -74,7 +74,7 @@
 	a.view.RecordLoad(a.server.ID, r.Load, sentAt)
 	if err != nil {
 		a.view.RecordAbandoned(a.server.ID)
-		if !fault.IsKind(err, fault.Overloaded) && !fault.IsKind(err, fault.Draining) && !a.runner.HolderFailed() {
+		if a.blamesInstance(err) {
 			a.view.RecordFailure(a.server.ID)
 		}
 		return r, err
@@ -91,6 +91,14 @@
 	return r, nil
 }
 
+// blamesInstance reports whether an error counts as a failure of the instance.
+func (a *attempt) blamesInstance(err error) bool {
+	if fault.IsKind(err, fault.Overloaded) || fault.IsKind(err, fault.Draining) || fault.IsRefusal(err) {
+		return false
+	}
+	return !a.runner.HolderFailed()
+}
+
 // priority orders the statements that wait for an instance; the lowest value
 // goes first. It sorts by the priority of the database's rules and then by their
 // target latency, so that under overload the statements that can wait longest
--- a/internal/services/sess/autocommit.go
+++ b/internal/services/sess/autocommit.go
@@ -279,6 +279,9 @@
 
 // accept records an instance's answer and reports whether it ends the read.
 func (x *readRequest) accept(a readResult) (reply.Reply, bool) {
+	if fault.IsRefusal(a.err) {
+		return *x.session.refusal(reply.Busy, "not-sent", describe(a.err), retryAfter(a.err)), true
+	}
 	if a.err != nil {
 		x.noFreeConnection = x.noFreeConnection || fault.IsKind(a.err, fault.Overloaded)
 		x.recordRejection(a)
--- a/pkg/model/fault/fault.go
+++ b/pkg/model/fault/fault.go
@@ -134,6 +134,12 @@
 	return nil
 }
 
+// IsRefusal reports whether err says that the request itself can't be served, wherever it is
+// sent: it says nothing of an instance or of another host.
+func IsRefusal(err error) bool {
+	return IsKind(err, BadRequest) || IsKind(err, TooLarge)
+}
+
 // IsKind reports whether the first fault in err's chain is of this kind.
 func IsKind(err error, kind string) bool {
 	f := As(err)
