Send statements, rows and values between hosts as bytes

Errand and ErrandAnswer held what callers and instances send in proto3 strings, which must be UTF-8. At a host that does not hold the connections to the instance, a statement with other bytes was not sent to the holder; outside of a transaction it ran on a connection of the host's own, beside the holder, which was avoided for a while, and in a transaction it was refused. Rows that were not UTF-8 lost the connection between the hosts, after the statement had run.

The fields are bytes now, which are encoded the same. A map key can't be bytes, so session values are a list of SessionValue, which is how a map is encoded.

--- a/internal/routers/tasks/admission_test.go
+++ b/internal/routers/tasks/admission_test.go
@@ -134,6 +134,6 @@
 		var a wasabislipv1.ErrandAnswer
 		is.NoErr(protodelim.UnmarshalFrom(bufio.NewReader(conn), &a))
 		is.Equal(a.GetFault(), fault.BadRequest)
-		is.True(strings.Contains(a.GetReason(), "level"))
+		is.True(strings.Contains(string(a.GetReason()), "level"))
 	})
 }
--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -272,10 +272,10 @@
 // a fault itself, the outcome counts as unknown.
 func (c *peerConn) writeReply(r *reply.Reply, failure error) error {
 	m := &wasabislipv1.ErrandAnswer{
-		Rows:         r.Rows,
+		Rows:         hostpb.RowsToProto(r.Rows),
 		Outcome:      int32(r.Outcome),
-		Signature:    r.Signature,
-		Message:      r.Message,
+		Signature:    []byte(r.Signature),
+		Message:      []byte(r.Message),
 		RetryAfterMs: milliseconds(r.RetryAfter),
 		StartAfterMs: milliseconds(r.StartAfter),
 		State:        int32(r.State),
@@ -285,15 +285,16 @@
 	}
 	if failure != nil {
 		m.Fault = fault.OutcomeUnknown
-		m.Reason = failure.Error()
+		reason := failure.Error()
 		if f := fault.As(failure); f != nil {
 			m.Fault = f.Kind
-			m.Reason = f.Reason
+			reason = f.Reason
 			if f.Remedy != "" && fault.IsRefusal(f) {
-				m.Reason += "; " + f.Remedy
+				reason += "; " + f.Remedy
 			}
 			m.RetryAfterMs = milliseconds(f.RetryAfter)
 		}
+		m.Reason = []byte(reason)
 	}
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
@@ -348,16 +349,16 @@
 		Kind:          int(m.GetKind()),
 		Instance:      m.GetInstance(),
 		Workspace:     m.GetWorkspace(),
-		SessionValues: m.GetValues(),
+		SessionValues: hostpb.ValuesFromProto(m.GetValues()),
 		Query: query.Query{
-			ID:    s.GetId(),
+			ID:    string(s.GetId()),
 			Kind:  int(s.GetKind()),
-			Text:  s.GetText(),
-			Name:  s.GetName(),
-			Value: s.GetValue(),
-			Args:  s.GetArgs(),
+			Text:  string(s.GetText()),
+			Name:  string(s.GetName()),
+			Value: string(s.GetValue()),
+			Args:  string(s.GetArgs()),
 		},
-		Prepared: m.GetPrepared(),
+		Prepared: string(m.GetPrepared()),
 		ReadOnly: m.GetReadOnly(),
 		MinPosition: logpos.Position{
 			Term:   m.GetFloorTerm(),
--- a/internal/routers/tasks/tasks_test.go
+++ b/internal/routers/tasks/tasks_test.go
@@ -18,8 +18,8 @@
 		Instance:  "i-1",
 		Workspace: "w",
 		Statement: &wasabislipv1.ErrandQuery{
-			Id:   "c1-1",
-			Text: "WRITE item 1",
+			Id:   []byte("c1-1"),
+			Text: []byte("WRITE item 1"),
 		},
 		TimeoutMs: 800,
 	})
--- a/internal/routers/tasks/wire_test.go
+++ b/internal/routers/tasks/wire_test.go
@@ -17,6 +17,7 @@
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/models/task"
+	"wasabislip.example/wasabislip/internal/modules/hostpb"
 	"wasabislip.example/wasabislip/internal/routers/tasks"
 	"wasabislip.example/wasabislip/internal/services/conns"
 	"wasabislip.example/wasabislip/internal/services/link"
@@ -84,38 +85,38 @@
 	const forged = "a\r\nQUERY 77 WRITE forged 1"
 	for name, m := range map[string]*wasabislipv1.Errand{
 		"statement": {Statement: &wasabislipv1.ErrandQuery{
-			Id:   "c1-1",
+			Id:   []byte("c1-1"),
 			Kind: query.Write,
-			Text: "WRITE k " + forged,
+			Text: []byte("WRITE k " + forged),
 		}},
 		"id": {Statement: &wasabislipv1.ErrandQuery{
-			Id:   "c1-1 c1-2",
+			Id:   []byte("c1-1 c1-2"),
 			Kind: query.Write,
-			Text: "WRITE k 1",
+			Text: []byte("WRITE k 1"),
 		}},
 		"workspace": {
 			Workspace: "w\r\nQUERY 77 WRITE forged 1",
 			Statement: &wasabislipv1.ErrandQuery{
-				Id:   "c1-1",
+				Id:   []byte("c1-1"),
 				Kind: query.Write,
-				Text: "WRITE k 1",
+				Text: []byte("WRITE k 1"),
 			},
 		},
 		"prepared statement": {
-			Prepared: "WRITE " + forged,
+			Prepared: []byte("WRITE " + forged),
 			Statement: &wasabislipv1.ErrandQuery{
-				Id:   "c1-1",
+				Id:   []byte("c1-1"),
 				Kind: query.Execute,
-				Name: "s",
-				Args: "k 1",
+				Name: []byte("s"),
+				Args: []byte("k 1"),
 			},
 		},
 		"session values before a transaction": {
 			Kind: task.Begin,
-			Values: map[string]string{
+			Values: hostpb.ValuesToProto(map[string]string{
 				"large": strings.Repeat("x", 10000),
 				"note":  forged,
-			},
+			}),
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -140,7 +141,7 @@
 			var a wasabislipv1.ErrandAnswer
 			is.NoErr(protodelim.UnmarshalFrom(bufio.NewReader(conn), &a))
 			is.Equal(a.GetFault(), fault.BadRequest)
-			is.True(strings.Contains(a.GetReason(), "without CR LF"))
+			is.True(strings.Contains(string(a.GetReason()), "without CR LF"))
 			is.Equal(h.received(), []string(nil))
 		})
 	}
--- a/internal/services/forwd/remote.go
+++ b/internal/services/forwd/remote.go
@@ -101,7 +101,7 @@
 	}
 	if a.GetFault() != "" {
 		after := time.Duration(a.GetRetryAfterMs()) * time.Millisecond
-		err := fault.New(a.GetFault(), a.GetReason(), "retry later").WithRetryAfter(after)
+		err := fault.New(a.GetFault(), string(a.GetReason()), "retry later").WithRetryAfter(after)
 		if fault.IsRefusal(err) {
 			err.Remedy = "" // the reason holds it; a retry is refused again
 		}
@@ -110,10 +110,10 @@
 		}, err
 	}
 	return reply.Reply{
-		Rows:       a.GetRows(),
+		Rows:       hostpb.RowsFromProto(a.GetRows()),
 		Outcome:    int(a.GetOutcome()),
-		Signature:  a.GetSignature(),
-		Message:    a.GetMessage(),
+		Signature:  string(a.GetSignature()),
+		Message:    string(a.GetMessage()),
 		RetryAfter: time.Duration(a.GetRetryAfterMs()) * time.Millisecond,
 		StartAfter: time.Duration(a.GetStartAfterMs()) * time.Millisecond,
 		State:      int(a.GetState()),
@@ -147,16 +147,16 @@
 		Kind:      int32(t.Kind),
 		Instance:  t.Instance,
 		Workspace: t.Workspace,
-		Values:    t.SessionValues,
+		Values:    hostpb.ValuesToProto(t.SessionValues),
 		Statement: &wasabislipv1.ErrandQuery{
-			Id:    t.Query.ID,
+			Id:    []byte(t.Query.ID),
 			Kind:  int32(t.Query.Kind),
-			Text:  t.Query.Text,
-			Name:  t.Query.Name,
-			Value: t.Query.Value,
-			Args:  t.Query.Args,
+			Text:  []byte(t.Query.Text),
+			Name:  []byte(t.Query.Name),
+			Value: []byte(t.Query.Value),
+			Args:  []byte(t.Query.Args),
 		},
-		Prepared:    t.Prepared,
+		Prepared:    []byte(t.Prepared),
 		ReadOnly:    t.ReadOnly,
 		FloorTerm:   t.MinPosition.Term,
 		FloorOffset: t.MinPosition.Offset,
