Take answers and session values up to one limit, wherever the holder is

Answers of more than 4096 rows were refused as a violation of the protocol, which allows any number, after the statement had run. The rows themselves had no bound in bytes, so that one answer could take 4 GiB. The answers between hosts ended at 4 MiB, so that the same read worked at the holder and was in doubt at another host, which then avoided the holder.

An answer may have 16 MiB now, counted with 16 bytes for each row, and so at both hosts. Beyond that the connection is closed, the outcome is unknown, and the text says why. A read that no instance answered names the last reason.

A session's values had no bound, and a task of over 4 MiB lost its connection: it ran on a connection of the host's own beside the holder. Values may have 8 MiB in all, then SET is refused; a task may have 16 MiB, which holds them and a statement of 1 MiB.

--- a/internal/models/reply/reply.go
+++ b/internal/models/reply/reply.go
@@ -50,6 +50,14 @@
 	Malformed
 )
 
+const (
+	// MaxBytes bounds the rows of one answer, with RowBytes for each, so that an instance
+	// that never ends an answer can't exhaust the memory. Answers are a few kilobytes.
+	MaxBytes = 16 << 20
+	// RowBytes is what a row takes beside its bytes: in memory, and between hosts at most.
+	RowBytes = 16
+)
+
 // Reply is the answer to one statement.
 type Reply struct {
 	// Rows are the rows of the result, in order.
--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -40,9 +40,9 @@
 	writeTimeout = time.Second
 	// acceptPause is the pause after a failed accept.
 	acceptPause = 10 * time.Millisecond
-	// maxTaskBytes bounds a task: it holds a statement of up to 1 MiB and the
-	// values of its session.
-	maxTaskBytes = 4 << 20
+	// maxTaskBytes bounds a task. It holds the text of a statement, its arguments and its
+	// declaration, of up to 1 MiB each, and up to 8 MiB of session values (see package sess).
+	maxTaskBytes = 16 << 20
 	// maxTimeout bounds the timeout that another host may set for a statement.
 	maxTimeout = time.Minute
 	// bufferBytes is the size of a connection's buffers: a usual task fits in.
--- a/internal/services/forwd/remote.go
+++ b/internal/services/forwd/remote.go
@@ -27,6 +27,9 @@
 	// networkTime is added to a statement's timeout for the round trip to the
 	// holder, so that the holder's own timeout expires first.
 	networkTime = 40 * time.Millisecond
+	// maxAnswerBytes bounds an answer of a holder: its rows, and a signature or an error
+	// of up to 1 MiB each.
+	maxAnswerBytes = reply.MaxBytes + 4<<20
 	// bufferSize is the size of a usual task, in bytes.
 	bufferSize = 2048
 )
@@ -96,7 +99,10 @@
 		}
 	}
 	var a wasabislipv1.ErrandAnswer
-	if err := protodelim.UnmarshalFrom(r.r, &a); err != nil {
+	options := protodelim.UnmarshalOptions{
+		MaxSize: maxAnswerBytes,
+	}
+	if err := options.UnmarshalFrom(r.r, &a); err != nil {
 		return reply.Reply{}, err
 	}
 	if a.GetFault() != "" {
--- a/internal/services/link/link.go
+++ b/internal/services/link/link.go
@@ -3,6 +3,7 @@
 package link
 
 import (
+	"errors"
 	"time"
 
 	"wasabislip.example/wasabislip/internal/models/query"
@@ -11,6 +12,10 @@
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
+// ErrAnswerTooLarge ends a connection whose instance sent an answer of more than
+// reply.MaxBytes. The statement has run.
+var ErrAnswerTooLarge = errors.New("an answer is over 16 MiB; read less at a time")
+
 // Link is a connection to an instance. Answers come in the order of the
 // statements. Only one goroutine may use it at a time, but Close may be called
 // concurrently.
--- a/internal/services/runner/runner.go
+++ b/internal/services/runner/runner.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"wasabislip.example/wasabislip/internal/models/load"
@@ -12,6 +13,7 @@
 	"wasabislip.example/wasabislip/internal/models/task"
 	"wasabislip.example/wasabislip/internal/modules/count"
 	"wasabislip.example/wasabislip/internal/services/conns"
+	"wasabislip.example/wasabislip/internal/services/link"
 	"wasabislip.example/wasabislip/internal/services/pconn"
 	"wasabislip.example/wasabislip/pkg/model/fault"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
@@ -278,6 +280,13 @@
 
 // unanswered returns the fault for a statement that was sent but not answered.
 func unanswered(id string, err error) error {
+	if errors.Is(err, link.ErrAnswerTooLarge) {
+		return fault.New(
+			fault.OutcomeUnknown,
+			"the answer of instance "+id+" is over 16 MiB",
+			"read less at a time; the statement has run",
+		).Wrap(err)
+	}
 	return fault.New(
 		fault.OutcomeUnknown,
 		"instance "+id+" did not answer",
--- a/internal/services/sess/autocommit.go
+++ b/internal/services/sess/autocommit.go
@@ -203,6 +203,8 @@
 	choice    string
 	results   chan readResult
 	lastReply reply.Reply
+	// lastErr is why the last instance that gave no answer gave none.
+	lastErr error
 	// rejection is the last rejection of an instance at which the read would have
 	// waited, or else the last one.
 	rejection *fault.Fault
@@ -262,6 +264,8 @@
 	if x.rejection != nil {
 		refusal.RetryAfter = x.rejection.RetryAfter
 		refusal.Message += ": " + x.rejection.Reason
+	} else if x.lastErr != nil {
+		refusal.Message += ": " + describe(x.lastErr)
 	}
 	return *refusal
 }
@@ -283,6 +287,7 @@
 		return *x.session.refusal(reply.Busy, "not-sent", describe(a.err), retryAfter(a.err)), true
 	}
 	if a.err != nil {
+		x.lastErr = a.err
 		x.noFreeConnection = x.noFreeConnection || fault.IsKind(a.err, fault.Overloaded)
 		x.recordRejection(a)
 		return reply.Reply{}, false
--- a/internal/services/sess/sess.go
+++ b/internal/services/sess/sess.go
@@ -21,8 +21,14 @@
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
-// proxySignature is the signature of replies to statements that no instance ran.
-const proxySignature = "-"
+const (
+	// proxySignature is the signature of replies to statements that no instance ran.
+	proxySignature = "-"
+	// maxSettingsBytes bounds the names and values of a session's settings, with
+	// settingBytes for each: every task that is sent to another host holds them.
+	maxSettingsBytes = 8 << 20
+	settingBytes     = 16
+)
 
 // config gives the configuration in force.
 type config interface {
@@ -231,6 +237,13 @@
 		settings = map[string]string{}
 	}
 	settings[q.Name] = q.Value
+	size := 0
+	for name, value := range settings {
+		size += len(name) + len(value) + settingBytes
+	}
+	if size > maxSettingsBytes {
+		return *s.refusal(reply.Malformed, "too-large", "the values of the session are over 8 MiB; set smaller or fewer values", 0)
+	}
 	s.settings = settings
 	return done(s.state())
 }
--- a/internal/standin/linedb/linedb.go
+++ b/internal/standin/linedb/linedb.go
@@ -57,6 +57,15 @@
 	// sentRows holds the rows of the answers to each statement, by its id, joined by
 	// CR LF.
 	sentRows map[string][]string
+	// rowsPerRead is how often a read returns the item; 0 counts as 1.
+	rowsPerRead int
+}
+
+// SetRowsPerRead makes reads return the item's value n times.
+func (g *Group) SetRowsPerRead(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rowsPerRead = n
 }
 
 // CountStatusQueries returns how many status queries the instances have received.
--- a/internal/standin/linedb/session.go
+++ b/internal/standin/linedb/session.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -373,7 +374,7 @@
 	s.occupySlot(g.statementTime())
 	s.record(id, text)
 	if kind == "READ" {
-		s.complete(id, s.value(item))
+		s.complete(id, s.rows(item)...)
 		return
 	}
 	w := commit{
@@ -389,6 +390,15 @@
 	s.complete(id)
 }
 
+// rows returns the rows of a read.
+func (s *session) rows(item string) []string {
+	g := s.instance.group
+	g.mu.Lock()
+	n := max(1, g.rowsPerRead)
+	g.mu.Unlock()
+	return slices.Repeat([]string{s.value(item)}, n)
+}
+
 // value returns the value of an item as the session sees it: its own uncommitted
 // writes hide what the applied log holds.
 func (s *session) value(item string) string {
--- a/internal/standin/simenv/bytes_test.go
+++ b/internal/standin/simenv/bytes_test.go
@@ -67,7 +67,7 @@
 						is.True(ok)
 						defer c.Close()
 						c.AnswerTimeout = 2 * time.Second
-						opened := connectionsOf(env, 1)
+						opened := ownConnections(env)
 						statement(is, c, data)
 						is.Equal(c.Do("READ item").Rows, []string{data})
 						for _, r := range env.Group.Executions() {
@@ -81,7 +81,7 @@
 							}
 						}
 						// Host 1 opens no connection of its own: the holder takes its statements.
-						is.Equal(connectionsOf(env, 1), opened)
+						is.Equal(ownConnections(env), opened)
 					})
 				})
 			}
@@ -89,7 +89,8 @@
 	}
 }
 
-// connectionsOf returns how many connections a host has opened for callers' statements.
-func connectionsOf(env *simenv.Environment, host int) float64 {
-	return env.Metric(host, "wasabislip_instance_connections_opened")
+// ownConnections returns how many connections to instances host 1 has opened for callers'
+// statements.
+func ownConnections(env *simenv.Environment) float64 {
+	return env.Metric(1, "wasabislip_instance_connections_opened")
 }
