--- a/internal/routers/tasks/wire_test.go
+++ b/internal/routers/tasks/wire_test.go
@@ -25,12 +25,14 @@
 	"wasabislip.example/wasabislip/platform/lines"
 )
 
-// wireHost has one instance, which accepts sessions and answers no statement.
+// wireHost has one instance, which accepts sessions and answers each statement with the next
+// of answers; without one it answers nothing.
 type wireHost struct {
 	*host
 
-	mu   sync.Mutex
-	sent []string
+	mu      sync.Mutex
+	sent    []string
+	answers []string
 }
 
 func newWireHost() *wireHost {
@@ -55,9 +57,7 @@
 			if err != nil {
 				return
 			}
-			h.mu.Lock()
-			h.sent = append(h.sent, line)
-			h.mu.Unlock()
+			_, _ = io.WriteString(far, h.take(line)) // an error shows at the next read
 			if strings.HasPrefix(line, "STARTUP ") {
 				_, _ = io.WriteString(far, "READY I -\r\n") // an error shows at the next read
 			}
@@ -66,6 +66,19 @@
 	return lines.New(near), nil
 }
 
+// take records a message and returns its answer.
+func (h *wireHost) take(line string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sent = append(h.sent, line)
+	if !strings.HasPrefix(line, "QUERY ") || len(h.answers) == 0 {
+		return ""
+	}
+	answer := h.answers[0]
+	h.answers = h.answers[1:]
+	return answer
+}
+
 // received returns the messages that the instance got after the starts of sessions.
 func (h *wireHost) received() []string {
 	h.mu.Lock()
@@ -146,3 +159,46 @@
 		})
 	}
 }
+
+// Guards against a statement that has run and is told to be not run since its answer was too
+// large, and against a connection that is used again with the rest of that answer on it.
+func TestAnswerTooLarge(t *testing.T) {
+	is := is.New(t)
+	h := newWireHost()
+	h.answers = []string{
+		strings.Repeat("DATAROW "+strings.Repeat("x", 512<<10)+"\r\n", 40) + "COMPLETE sig-1\r\nREADY I 1.1\r\n",
+		"COMPLETE sig-2\r\nREADY I 1.2\r\n",
+	}
+	s := tasks.New(h, h, h)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go s.Serve(t.Context(), l)
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	r := bufio.NewReader(conn)
+	write := func(id string) *wasabislipv1.ErrandAnswer {
+		_, err = conn.Write(encode(t, &wasabislipv1.Errand{
+			Instance:  "i-1",
+			Workspace: "w",
+			Statement: &wasabislipv1.ErrandQuery{
+				Id:   []byte(id),
+				Kind: query.Write,
+				Text: []byte("WRITE k 1"),
+			},
+			TimeoutMs: 2000,
+		}))
+		is.NoErr(err)
+		var a wasabislipv1.ErrandAnswer
+		is.NoErr(protodelim.UnmarshalFrom(r, &a))
+		return &a
+	}
+	a := write("c1-1")
+	is.Equal(a.GetFault(), fault.OutcomeUnknown)
+	is.True(strings.Contains(string(a.GetReason()), "over 16 MiB"))
+	a = write("c1-2")
+	is.Equal(a.GetFault(), "")
+	is.Equal(string(a.GetSignature()), "sig-2")
+}
