Refuse names of hosts and data centres with line breaks or control characters

Only blanks, tabs and slashes were refused. No HTTP header can carry a line break, so that no order of such a host to promote an instance was sent.

--- a/internal/modules/conf/conf.go
+++ b/internal/modules/conf/conf.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"time"
+	"unicode"
 
 	"wasabislip.example/wasabislip/internal/modules/strict"
 	"wasabislip.example/wasabislip/pkg/model/fault"
@@ -134,7 +135,7 @@
 		"host":        s.Host,
 		"data-centre": s.DataCentre,
 	} {
-		if text == "" || strings.ContainsAny(text, " \t/") {
+		if !isName(text) {
 			f.AddProblem(key, fmt.Sprintf("%q is not a valid name", text), "use letters, digits and dashes")
 		}
 	}
@@ -181,6 +182,14 @@
 	}
 }
 
+// isName reports whether a text can be a part of keys that "/" separates, and the value of an
+// HTTP header.
+func isName(text string) bool {
+	return text != "" && !strings.ContainsFunc(text, func(c rune) bool {
+		return c == '/' || unicode.IsSpace(c) || unicode.IsControl(c)
+	})
+}
+
 // ReportsUsage reports whether usage reports are on.
 func (s *Settings) ReportsUsage() bool {
 	return s.ReportWindow != 0 || s.UsageDelay != 0 || s.UsageTolerance != 0 || s.LeaseDuration != 0
