Answer a statement over 1 MiB instead of closing the connection

The connection was closed without an answer, which promises nothing: a caller could not tell that its write was not run, and lost its transaction. The rest of the message is skipped now, and the answer is MALFORMED, with a text that says that it was not run and names the limit.

--- a/internal/models/query/query.go
+++ b/internal/models/query/query.go
@@ -27,6 +27,8 @@
 	// Reset drops all session settings and prepared statements of an
 	// instance's connection. Only the proxy sends it.
 	Reset
+	// TooLong is a text over the limit of the protocol, of which nothing is kept.
+	TooLong
 )
 
 var kindNames = map[int]string{
@@ -41,6 +43,7 @@
 	Execute:    "execute",
 	Deallocate: "deallocate",
 	Reset:      "reset",
+	TooLong:    "too-long",
 }
 
 // KindName returns the name of a kind in logs.
--- a/internal/routers/edge/caller.go
+++ b/internal/routers/edge/caller.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/modules/guard"
 	"wasabislip.example/wasabislip/internal/routers/wire"
@@ -171,6 +172,9 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return c.handleWake()
 	}
+	if errors.Is(err, wire.ErrTooLong) {
+		q, err = query.Query{Kind: query.TooLong}, nil
+	}
 	if err != nil {
 		c.logLost(err)
 		return false
--- a/internal/routers/wire/wire.go
+++ b/internal/routers/wire/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"wasabislip.example/wasabislip/internal/models/query"
@@ -13,6 +14,10 @@
 // ErrProtocol ends a connection whose caller sent a message that is not understood.
 var ErrProtocol = errors.New("message is not understood; check the protocol's version")
 
+// ErrTooLong reports a statement over the limit of the callers' protocol. It is not run; the
+// next one can be read.
+var ErrTooLong = fmt.Errorf("message over 1 MiB; send smaller statements: %w", ErrProtocol)
+
 // Conn is a connection to a caller. One goroutine uses it at a time. Only the
 // deadlines and Close may be called concurrently.
 type Conn interface {
--- a/internal/services/sess/sess.go
+++ b/internal/services/sess/sess.go
@@ -214,6 +214,8 @@
 		return s.deallocate(q)
 	case query.Read, query.Write, query.Execute:
 		return s.statement(ctx, q)
+	case query.TooLong:
+		return *s.refusal(reply.Malformed, "too-long", "the message is over 1 MiB and is not run; send smaller statements", 0)
 	}
 	return *s.refusal(reply.Malformed, "malformed", "the statement is not understood", 0)
 }
--- a/internal/standin/simenv/large_test.go
+++ b/internal/standin/simenv/large_test.go
@@ -42,6 +42,21 @@
 			is.True(c.Do("COMMIT").OK())
 			is.True(c.Do("READ item").Row() == large)
 		})
+		run("statements over 1 MiB", func(is *is.I, env *simenv.Environment) {
+			c, _, ok := env.OpenSession(host, "strict", "key-one")
+			is.True(ok)
+			defer c.Close()
+			is.True(c.Do("BEGIN").OK())
+			is.True(c.Do("WRITE item 1").OK())
+			for _, more := range []int{100, 5 << 20} {
+				a := c.Do("WRITE item " + large + strings.Repeat("\r", more))
+				is.Equal(a.Code, "MALFORMED")
+				is.Equal(a.State, "T")
+				is.True(strings.Contains(a.Text, "send smaller statements"))
+			}
+			is.True(c.Do("COMMIT").OK())
+			is.Equal(c.Do("READ item").Row(), "1")
+		})
 		run("session values of 6 MiB in all", func(is *is.I, env *simenv.Environment) {
 			c, _, ok := env.OpenSession(host, "strict", "key-one")
 			is.True(ok)
