--- a/internal/services/forwd/remote.go
+++ b/internal/services/forwd/remote.go
@@ -27,6 +27,9 @@
 	// networkTime is added to a statement's timeout for the round trip to the
 	// holder, so that the holder's own timeout expires first.
 	networkTime = 40 * time.Millisecond
+	// maxAnswerBytes bounds an answer of a holder: its rows, and a signature or an error
+	// of up to 1 MiB each.
+	maxAnswerBytes = reply.MaxBytes + 4<<20
 	// bufferSize is the size of a usual task, in bytes.
 	bufferSize = 2048
 )
@@ -96,20 +99,27 @@
 		}
 	}
 	var a wasabislipv1.ErrandAnswer
-	if err := protodelim.UnmarshalFrom(r.r, &a); err != nil {
+	options := protodelim.UnmarshalOptions{
+		MaxSize: maxAnswerBytes,
+	}
+	if err := options.UnmarshalFrom(r.r, &a); err != nil {
 		return reply.Reply{}, err
 	}
 	if a.GetFault() != "" {
 		after := time.Duration(a.GetRetryAfterMs()) * time.Millisecond
+		err := fault.New(a.GetFault(), string(a.GetReason()), "retry later").WithRetryAfter(after)
+		if fault.IsRefusal(err) {
+			err.Remedy = "" // the reason holds it; a retry is refused again
+		}
 		return reply.Reply{
 			Load: r.decodeLoad(a.GetLoad()),
-		}, fault.New(a.GetFault(), a.GetReason(), "retry later").WithRetryAfter(after)
+		}, err
 	}
 	return reply.Reply{
-		Rows:       a.GetRows(),
+		Rows:       hostpb.RowsFromProto(a.GetRows()),
 		Outcome:    int(a.GetOutcome()),
-		Signature:  a.GetSignature(),
-		Message:    a.GetMessage(),
+		Signature:  string(a.GetSignature()),
+		Message:    string(a.GetMessage()),
 		RetryAfter: time.Duration(a.GetRetryAfterMs()) * time.Millisecond,
 		StartAfter: time.Duration(a.GetStartAfterMs()) * time.Millisecond,
 		State:      int(a.GetState()),
@@ -143,16 +153,16 @@
 		Kind:      int32(t.Kind),
 		Instance:  t.Instance,
 		Workspace: t.Workspace,
-		Values:    t.SessionValues,
+		Values:    hostpb.ValuesToProto(t.SessionValues),
 		Statement: &wasabislipv1.ErrandQuery{
-			Id:    t.Query.ID,
+			Id:    []byte(t.Query.ID),
 			Kind:  int32(t.Query.Kind),
-			Text:  t.Query.Text,
-			Name:  t.Query.Name,
-			Value: t.Query.Value,
-			Args:  t.Query.Args,
+			Text:  []byte(t.Query.Text),
+			Name:  []byte(t.Query.Name),
+			Value: []byte(t.Query.Value),
+			Args:  []byte(t.Query.Args),
 		},
-		Prepared:    t.Prepared,
+		Prepared:    []byte(t.Prepared),
 		ReadOnly:    t.ReadOnly,
 		FloorTerm:   t.MinPosition.Term,
 		FloorOffset: t.MinPosition.Offset,
--- a/internal/services/link/link.go
+++ b/internal/services/link/link.go
@@ -3,6 +3,7 @@
 package link
 
 import (
+	"errors"
 	"time"
 
 	"wasabislip.example/wasabislip/internal/models/query"
@@ -11,16 +12,22 @@
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
+// ErrAnswerTooLarge ends a connection whose instance sent an answer of more than
+// reply.MaxBytes. The statement has run.
+var ErrAnswerTooLarge = errors.New("an answer is over 16 MiB; read less at a time")
+
 // Link is a connection to an instance. Answers come in the order of the
 // statements. Only one goroutine may use it at a time, but Close may be called
 // concurrently.
 type Link interface {
-	// Hello opens the session and reads the answer.
+	// StartSession opens the session and reads the answer. An error for which
+	// fault.IsRefusal holds says that the session can't be opened at any instance.
 	StartSession(service, workspace, id string) (reply.Reply, error)
 	// Send queues a statement. The instance runs it once its log has reached
 	// minPosition.
 	Send(q *query.Query, minPosition logpos.Position)
-	// Flush sends the queued statements.
+	// Flush sends the queued statements. If one of them can't be written, it sends none
+	// and returns an error for which fault.IsRefusal holds.
 	Flush() error
 	// Receive reads the answer to the oldest unanswered statement.
 	Receive() (reply.Reply, error)
