--- a/internal/services/pconn/repeat_test.go
+++ b/internal/services/pconn/repeat_test.go
@@ -175,18 +175,18 @@
 		[]reply.Reply{busy},             // BEGIN, refused
 		[]reply.Reply{started, control}, // the answer to the first BEGIN again, the marker
 	)
-	begin := func() (reply.Reply, error) {
+	start := func() (reply.Reply, error) {
 		c.Begin(false, logpos.Position{})
 		_ = c.Flush(time.Time{})
 		return c.Receive(time.Time{})
 	}
-	_, err := begin()
+	_, err := start()
 	is.NoErr(err)
 	_, err = play(c, query.Commit, "one", nil)
 	is.NoErr(err)
-	_, err = begin()
+	_, err = start()
 	is.NoErr(err)
-	r, err := begin()
+	r, err := start()
 	is.True(err != nil || r.Outcome != reply.Done) // no transaction is open
 }
 
