--- a/internal/services/poller/poller_test.go
+++ b/internal/services/poller/poller_test.go
@@ -50,6 +50,9 @@
 	dials     int
 	questions int
 	unknown   bool
+	// repeats are the instances that send each answer twice, the second time while the
+	// next request is under way.
+	repeats map[string]bool
 }
 
 // session is a connection to an instance.
@@ -58,6 +61,8 @@
 
 	world *world
 	id    string
+	// unread are the answers that were sent and not read yet.
+	unread []report.Report
 }
 
 // run runs the poller of a host. i-1 leads term 1, and i-2 and i-3 follow it.
@@ -68,6 +73,7 @@
 			w := &world{
 				reports: map[string]report.Report{},
 				down:    map[string]bool{},
+				repeats: map[string]bool{},
 			}
 			for _, id := range []string{"i-1", "i-2", "i-3"} {
 				w.reports[id] = report.Report{
@@ -144,6 +150,31 @@
 			Term: 1,
 		})
 	})
+	// A repeated answer that is one request old would renew the lease after the change.
+	stopRepeating := func(what, id string, r report.Report) {
+		run(t, what, func(is *is.I, w *world) {
+			w.repeat(id)
+			time.Sleep(renewals)
+			_, renewed := w.view.LastLeaseRenewal()
+			is.True(renewed > 0)
+			w.set(id, r)
+			changed := uptime.Now()
+			time.Sleep(renewals)
+			_, renewed = w.view.LastLeaseRenewal()
+			is.True(renewed <= changed)
+		})
+	}
+	stopRepeating("a replica that repeats its answers renews none once it was told to stop receiving", "i-3", report.Report{
+		Term:       1,
+		PausedTerm: 2,
+	})
+	stopRepeating("a replica that repeats its answers renews none once it was promoted", "i-2", report.Report{
+		Primary: true,
+		Term:    2,
+	})
+	stopRepeating("a primary that repeats its answers renews none once it stepped down", "i-1", report.Report{
+		Term: 1,
+	})
 }
 
 // TestPolls guards against polls that overload instances: a fleet that started opened
@@ -197,6 +228,12 @@
 	w.reports[id] = r
 }
 
+func (w *world) repeat(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.repeats[id] = true
+}
+
 func (w *world) crash(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -232,9 +269,21 @@
 	if s.world.down[s.id] {
 		return report.Report{}, reply.Reply{}, errDown
 	}
-	return s.world.reports[s.id], reply.Reply{}, nil
+	r := s.world.reports[s.id]
+	s.unread = append(s.unread, r)
+	if s.world.repeats[s.id] {
+		s.unread = append(s.unread, r)
+	}
+	r = s.unread[0]
+	s.unread = s.unread[1:]
+	return r, reply.Reply{}, nil
 }
 
+// IsOpen reports true: repeated answers arrive only after the next request was sent.
+func (s *session) IsOpen() bool { return true }
+
+func (s *session) HasUnread() bool { return false }
+
 func (s *session) SetReadDeadline(time.Time) error  { return nil }
 func (s *session) SetWriteDeadline(time.Time) error { return nil }
 func (s *session) Close() error                     { return nil }
