Decide leases and failovers by answers that belong to their requests

A repeated answer on a probe connection shifted all later ones: the status before a PAUSE passed for its answer, and one from before a replica was told to stop renewed the lease.

Reports that decide something are the first answer on a new connection (FreshStatus): those that renew a lease, show that a replica is held, choose the candidate, show that the former primary's log is replicated, and name the primary after a restore. PAUSE, RESUME and STEPDOWN go over the open connection, as long as each answer on it was unlike all before it, and the command's is too. By induction each such answer is the one to its request, whenever answers come again and however often. Otherwise the command is sent again on a new connection. Polls for positions and for the end of a promotion keep their connection. A poll finds unread bytes before it uses one; then each connection to the instance is used once for a minute.

Weighed: - An answer like an earlier one counts as of that one's request: exact, but the rows of a quiet service are all alike, so that its position would be polled on and on. - The k-th of n equal answers belongs at least to the (k/2)-th request, if each is repeated once at the most: a lease would be half as many rounds old. - Only the check for unread bytes: a repetition that comes while the next request is under way is found one request too late. - The check by differing answers for leases too: quiet instances' rows are alike, which costs a query and a connection each.

Left: a position may be that of one request earlier, once in a minute, if the repetition comes while the next poll is under way.

--- a/internal/modules/alive/alive.go
+++ b/internal/modules/alive/alive.go
@@ -56,3 +56,29 @@
 	})
 	return err == nil && closed
 }
+
+// unreader is a connection without a file descriptor that tells whether data has arrived.
+type unreader interface {
+	HasUnread() bool
+}
+
+// HasUnread reports whether data has arrived on a connection that is not read yet. It does
+// not look at deadlines.
+func HasUnread(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		u, ok := c.(unreader)
+		return ok && u.HasUnread()
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	var buf [1]byte
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
--- a/internal/modules/alive/alive_test.go
+++ b/internal/modules/alive/alive_test.go
@@ -56,6 +56,25 @@
 	})
 }
 
+func TestHasUnread(t *testing.T) {
+	is := is.New(t)
+	near, far := connPair(t)
+	is.True(!alive.HasUnread(near))
+	_, err := far.Write([]byte("x"))
+	is.NoErr(err)
+	for limit := time.Now().Add(5 * time.Second); !alive.HasUnread(near) && time.Now().Before(limit); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(alive.HasUnread(near))
+	_, err = near.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.True(!alive.HasUnread(near))
+	is.NoErr(far.Close())
+	_, err = near.Read(make([]byte, 1)) // waits for the close to arrive
+	is.True(err != nil)
+	is.True(!alive.HasUnread(near))
+}
+
 func TestIsClosed(t *testing.T) {
 	t.Run("an open connection, also after its read deadline", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/services/eras/eras.go
+++ b/internal/services/eras/eras.go
@@ -59,9 +59,9 @@
 	Write(ctx context.Context, expected, puts, deletes []tuple.Tuple) (uint64, error)
 }
 
-// prober asks instances for their status.
+// prober asks instances for their status. A report is from after the call.
 type prober interface {
-	Status(ctx context.Context, s server.Server) (report.Report, int, error)
+	FreshStatus(ctx context.Context, s server.Server) (report.Report, int, error)
 }
 
 // fleet is what gossip tells of the other hosts.
@@ -249,7 +249,7 @@
 	)
 	for _, s := range k.Directory.Servers(service) {
 		asked.Go(func() {
-			r, outcome, err := k.Prober.Status(ctx, s)
+			r, outcome, err := k.Prober.FreshStatus(ctx, s)
 			if err != nil || outcome != reply.Done || !r.Primary {
 				return
 			}
--- a/internal/services/eras/eras_test.go
+++ b/internal/services/eras/eras_test.go
@@ -309,7 +309,7 @@
 	}
 }
 
-func (w *world) Status(_ context.Context, s server.Server) (report.Report, int, error) {
+func (w *world) FreshStatus(_ context.Context, s server.Server) (report.Report, int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return report.Report{
--- a/internal/services/failov/choose.go
+++ b/internal/services/failov/choose.go
@@ -32,15 +32,18 @@
 	return c.report.Received.Newer(other.report.Received)
 }
 
+// statusFunc asks an instance for its report.
+type statusFunc func(ctx context.Context, s server.Server) (report.Report, int, error)
+
 // countOutdone returns how many replicas that can't be promoted, such as one that leaves,
 // answer that the candidate holds all that they have received.
-func (a *attempt) countOutdone(ctx context.Context, best candidate, candidates []server.Server) int {
+func (a *attempt) countOutdone(ctx context.Context, status statusFunc, best candidate, candidates []server.Server) int {
 	n := 0
 	for _, s := range a.failover.Directory.Servers(a.service) {
 		if s.ID == a.record.FormerPrimary || slices.Contains(candidates, s) {
 			continue
 		}
-		r, outcome, err := a.failover.Prober.Status(ctx, s)
+		r, outcome, err := status(ctx, s)
 		other := candidate{
 			server: s,
 			report: r,
@@ -55,14 +58,15 @@
 // bestCandidate returns the candidate that received most of the log. It returns
 // false unless so many replicas answered that one of them holds every
 // acknowledged commit, or the candidate holds all of the log of a former primary
-// that stepped down.
-func (a *attempt) bestCandidate(ctx context.Context) (candidate, bool) {
+// that stepped down. A choice needs fresh reports: with older ones another replica may
+// have received more. Older ones show what the candidate received at the least.
+func (a *attempt) bestCandidate(ctx context.Context, status statusFunc) (candidate, bool) {
 	var best candidate
 	found := false
 	answered := 0
 	candidates := a.failover.candidates(a.service, a.record.FormerPrimary)
 	for _, s := range candidates {
-		r, outcome, err := a.failover.Prober.Status(ctx, s)
+		r, outcome, err := status(ctx, s)
 		if err != nil || outcome != reply.Done {
 			continue
 		}
@@ -81,7 +85,7 @@
 		}
 	}
 	if found && a.failover.Directory.SyncReplicas(a.service) > 0 {
-		answered += a.countOutdone(ctx, best, candidates)
+		answered += a.countOutdone(ctx, status, best, candidates)
 	}
 	whole := !a.formerLogEnd.IsZero() && !a.formerLogEnd.Newer(best.report.Received)
 	if found && !whole && answered < a.failover.requiredAnswers(a.service, a.record.FormerPrimary) {
--- a/internal/services/failov/failov.go
+++ b/internal/services/failov/failov.go
@@ -91,7 +91,10 @@
 // prober asks instances for their status and sends them the commands of a
 // failover.
 type prober interface {
+	// Status may return the report of an earlier request, if the instance repeats answers;
+	// FreshStatus does not, and opens a new connection.
 	Status(ctx context.Context, s server.Server) (report.Report, int, error)
+	FreshStatus(ctx context.Context, s server.Server) (report.Report, int, error)
 	PauseReplication(ctx context.Context, s server.Server, term uint64) (report.Report, int, error)
 	ResumeReplication(ctx context.Context, s server.Server) (report.Report, int, error)
 	StepDown(ctx context.Context, s server.Server, term uint64) (report.Report, int, error)
--- a/internal/services/failov/failov_test.go
+++ b/internal/services/failov/failov_test.go
@@ -221,6 +221,56 @@
 	})
 }
 
+// TestRepeatedAnswers guards against steps of a failover that are decided by the report of
+// an earlier request, after an instance has repeated an answer.
+func TestRepeatedAnswers(t *testing.T) {
+	const age = time.Second
+	run(t, "the replica that received most by now is promoted", func(is *is.I, w *world) {
+		w.repeatAnswers(age)
+		w.register("host-2") // does not obey, so that the lease is waited for
+		w.receive("i-2", 5)
+		w.crash("i-1")
+		w.await(is, func() bool { return w.heldAt("i-3") > 0 })
+		time.Sleep(dbview.Lease - age/10)
+		is.Equal(len(w.promotions()), 0)
+		w.receive("i-3", 9)
+		time.Sleep(changeTime)
+		is.True(len(w.promotions()) > 0)
+		is.Equal(w.promotions()[0].id, "i-3")
+	})
+	run(t, "replicas that restarted, and receive, are not taken for held", func(is *is.I, w *world) {
+		w.repeatAnswers(age)
+		w.register("host-2")
+		w.crash("i-1")
+		w.await(is, func() bool { return w.heldAt("i-2") > 0 && w.heldAt("i-3") > 0 })
+		time.Sleep(dbview.Lease - age/10)
+		is.Equal(len(w.promotions()), 0)
+		w.restart("i-2")
+		w.restart("i-3")
+		restarted := uptime.Now()
+		time.Sleep(2 * changeTime)
+		is.True(len(w.promotions()) > 0)
+		is.True(w.promotions()[0].at-restarted >= dbview.Lease)
+	})
+	run(t, "a primary that has committed since does not step down", func(is *is.I, w *world) {
+		w.repeatAnswers(age)
+		w.receive("i-1", 10)
+		w.receive("i-2", 10)
+		w.drain("i-1")
+		w.await(is, func() bool { return w.writes() > 0 })
+		time.Sleep(5 * time.Millisecond) // the primary was asked once
+		w.receive("i-1", 11)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(w.steppedDownAt("i-1"), time.Duration(0))
+		w.receive("i-2", 11)
+		caughtUp := uptime.Now()
+		time.Sleep(changeTime)
+		is.True(w.steppedDownAt("i-1") >= caughtUp)
+		is.Equal(w.promotions()[0].id, "i-2")
+		is.Equal(w.steppedDownAt("i-2"), time.Duration(0))
+	})
+}
+
 // encode returns the value of a row.
 func encode(v any) []byte {
 	b, err := json.Marshal(v)
--- a/internal/services/failov/hold.go
+++ b/internal/services/failov/hold.go
@@ -135,7 +135,7 @@
 		if anyHeld && a.failures[s.ID] >= maxHoldFailures {
 			continue
 		}
-		r, outcome, err := a.failover.Prober.Status(ctx, s)
+		r, outcome, err := a.failover.Prober.FreshStatus(ctx, s)
 		if err != nil || outcome != reply.Done {
 			if err != nil {
 				a.failures[s.ID]++
@@ -247,7 +247,7 @@
 			delete(a.held, id)
 			continue
 		}
-		r, outcome, err := a.failover.Prober.Status(ctx, s)
+		r, outcome, err := a.failover.Prober.FreshStatus(ctx, s)
 		if err != nil || outcome != reply.Done {
 			continue
 		}
--- a/internal/services/failov/steps.go
+++ b/internal/services/failov/steps.go
@@ -278,7 +278,7 @@
 	a.formerStopped = true
 	a.formerLogEnd = after.Received
 	caught := a.waitUntil(ctx, uptime.Now()+catchUpTimeout, func() bool {
-		best, ok := a.bestCandidate(ctx)
+		best, ok := a.bestCandidate(ctx, a.failover.Prober.Status)
 		return ok && !after.Received.Newer(best.report.Received)
 	})
 	a.failover.log("the former primary stepped down", a.service, a.record, "position", after.Received.String(), "caught-up", caught)
@@ -302,8 +302,20 @@
 		quiet := r.Received == last
 		last = r.Received
 		status = r
-		best, ok := a.bestCandidate(ctx)
-		return quiet && ok && !r.Received.Newer(best.report.Received)
+		best, ok := a.bestCandidate(ctx, a.failover.Prober.Status)
+		if !quiet || !ok || r.Received.Newer(best.report.Received) {
+			return false
+		}
+		// The former primary may have committed more since an older report.
+		r, outcome, err = a.failover.Prober.FreshStatus(ctx, former)
+		answered = err == nil && outcome == reply.Done
+		if !answered {
+			return false
+		}
+		quiet = r.Received == last
+		last = r.Received
+		status = r
+		return quiet
 	})
 	return status, answered
 }
@@ -322,7 +334,7 @@
 
 // installBest promotes the best candidate and records it as the primary.
 func (a *attempt) installBest(ctx context.Context) error {
-	chosen, ok := a.bestCandidate(ctx)
+	chosen, ok := a.bestCandidate(ctx, a.failover.Prober.FreshStatus)
 	if !ok {
 		return errNoCandidate
 	}
@@ -365,6 +377,7 @@
 				return err
 			}
 		}
+		// An older report with a higher term is from after the choice as well.
 		r, outcome, err := a.failover.Prober.Status(ctx, chosen.server)
 		if err == nil && outcome == reply.Done && r.Primary && (leads || r.Term > chosen.report.Term) {
 			return nil
@@ -397,7 +410,7 @@
 		if s.ID == a.record.Primary {
 			continue
 		}
-		if r, outcome, err := a.failover.Prober.Status(ctx, s); err == nil && outcome == reply.Done && r.PausedTerm > 0 {
+		if r, outcome, err := a.failover.Prober.FreshStatus(ctx, s); err == nil && outcome == reply.Done && r.PausedTerm > 0 {
 			if _, _, err := a.failover.Prober.ResumeReplication(ctx, s); err != nil {
 				klog.InfoS("a replica could not be made to receive again", "service", a.service, "instance", s.ID, "err", err.Error())
 			}
--- a/internal/services/failov/world_test.go
+++ b/internal/services/failov/world_test.go
@@ -53,6 +53,9 @@
 	orders    []order
 	hosts     map[string]host.Host
 	obedient  map[string]bool
+	// statusAge is how old the reports of Status are if the instance was asked before
+	// then, as those of an instance that repeats answers.
+	statusAge time.Duration
 }
 
 // instance is one instance; i-1 is the first primary.
@@ -63,6 +66,14 @@
 	held   time.Duration
 	// steppedDown is when it stepped down; 0 if it has not.
 	steppedDown time.Duration
+	// answers are its reports so far.
+	answers []answer
+}
+
+// answer is a report and when it was asked for.
+type answer struct {
+	at     time.Duration
+	report report.Report
 }
 
 // order is an order to promote an instance.
@@ -174,6 +185,20 @@
 	}
 }
 
+// restart makes an instance receive again that was told to stop.
+func (w *world) restart(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.instances[id].report.PausedTerm = 0
+}
+
+// repeatAnswers makes reports of Status as old as age.
+func (w *world) repeatAnswers(age time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.statusAge = age
+}
+
 // drain makes an instance say that it is about to leave.
 func (w *world) drain(id string) {
 	w.mu.Lock()
@@ -378,10 +403,32 @@
 		return report.Report{}, 0, errDown
 	}
 	change(in)
+	in.answers = append(in.answers, answer{
+		at:     uptime.Now(),
+		report: in.report,
+	})
 	return in.report, reply.Done, nil
 }
 
-func (w *world) Status(_ context.Context, s server.Server) (report.Report, int, error) {
+// Status returns the newest report from before statusAge, or the first one if all are
+// younger.
+func (w *world) Status(ctx context.Context, s server.Server) (report.Report, int, error) {
+	r, outcome, err := w.FreshStatus(ctx, s)
+	if err != nil {
+		return r, outcome, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	answers := w.instances[s.ID].answers
+	for i := len(answers) - 1; i > 0; i-- {
+		if uptime.Now()-answers[i].at >= w.statusAge {
+			return answers[i].report, outcome, nil
+		}
+	}
+	return answers[0].report, outcome, nil
+}
+
+func (w *world) FreshStatus(_ context.Context, s server.Server) (report.Report, int, error) {
 	return w.ask(s, func(*instance) {})
 }
 
--- a/internal/services/link/link.go
+++ b/internal/services/link/link.go
@@ -41,6 +41,8 @@
 	SetWriteDeadline(t time.Time) error
 	// IsOpen reports whether the instance has left an idle connection open.
 	IsOpen() bool
+	// HasUnread reports whether the instance has sent something on an idle connection.
+	HasUnread() bool
 	// Close closes the connection. The instance rolls an open transaction back.
 	Close() error
 }
--- a/internal/services/poller/poller.go
+++ b/internal/services/poller/poller.go
@@ -47,6 +47,9 @@
 	// leaseRenewalInterval is how old the lease must be before the replicas are
 	// asked to renew it: a fifth of the lease's time.
 	leaseRenewalInterval = 500 * time.Millisecond
+	// leaseRankDelay is how much longer each further host in the ranking waits. A renewal
+	// opens a connection to each instance, and the other hosts hear of it.
+	leaseRankDelay = 250 * time.Millisecond
 	// maxTableAge is the age of the fleet's table past which the store counts
 	// as not answering, so that the lease is renewed by asking the replicas
 	// whether they still follow the primary. A table whose records of primaries
@@ -202,9 +205,11 @@
 func (p *Poller) need(v *dbview.View, duty string) round {
 	asked, _, known := v.NewestPosition()
 	age := uptime.Now() - asked
+	leaseAge := v.LeaseAge()
+	rank := func() time.Duration { return time.Duration(p.hosts.Rank(duty)) } // only if needed
 	return round{
-		position: !known || age > maxPositionAge && age > maxPositionAge*time.Duration(p.hosts.Rank(duty)+1),
-		lease:    uptime.Now()-p.directory.LeasesAsOf() > maxTableAge && v.LeaseAge() > leaseRenewalInterval,
+		position: !known || age > maxPositionAge && age > maxPositionAge*(rank()+1),
+		lease:    uptime.Now()-p.directory.LeasesAsOf() > maxTableAge && leaseAge > leaseRenewalInterval && leaseAge > leaseRenewalInterval+rank()*leaseRankDelay,
 	}
 }
 
@@ -253,10 +258,11 @@
 
 // renewLease renews the lease if all replicas still follow the primary. A host
 // that promotes a replica makes it stop receiving first (PauseReplication), so that no
-// replica had been promoted when all of them were still receiving.
+// replica had been promoted when all of them were still receiving. Each answer has to be
+// from after asked.
 func (p *Poller) renewLease(ctx context.Context, v *dbview.View, primary server.Server) {
 	asked := uptime.Now()
-	lead, outcome, err := p.prober.Status(ctx, primary)
+	lead, outcome, err := p.prober.FreshStatus(ctx, primary)
 	if err != nil || outcome != reply.Done || !lead.Primary {
 		return
 	}
@@ -266,7 +272,7 @@
 			continue
 		}
 		replicas++
-		r, outcome, err := p.prober.Status(ctx, s)
+		r, outcome, err := p.prober.FreshStatus(ctx, s)
 		if err != nil || outcome != reply.Done || !follows(r, lead) {
 			klog.V(1).InfoS("the lease was not renewed: a replica did not answer or does not follow the primary", "service", v.Service(), "primary", primary.ID, "replica", s.ID)
 			return
--- a/internal/services/probe/probe.go
+++ b/internal/services/probe/probe.go
@@ -9,6 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"wasabislip.example/wasabislip/internal/models/pairs"
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/report"
@@ -22,6 +25,21 @@
 	timeout = 700 * time.Millisecond
 	// idleTimeout is how long an idle connection is kept for the next request.
 	idleTimeout = 2 * time.Second
+	// repeatMemory is how long after an instance was seen to repeat an answer each of its
+	// connections is used for one request only.
+	repeatMemory = time.Minute
+)
+
+// modes of a request: what has to be known of its answer. Answers name no request, and an
+// instance may send one twice.
+const (
+	// anyAnswer is an answer that may be the repetition of an earlier one.
+	anyAnswer = iota
+	// ownAnswer has to belong to the request: it is unlike all earlier ones on the
+	// connection, or the request is the first one there.
+	ownAnswer
+	// firstAnswer is that to the first request on a new connection.
+	firstAnswer
 )
 
 // dialer opens connections to instances.
@@ -54,6 +72,10 @@
 	inUse chan struct{}
 	link  link.Link
 	used  time.Time
+	// reports are the answers on the link so far.
+	reports pairs.Reports
+	// repeatsUntil is until when the instance counts as one that repeats answers.
+	repeatsUntil time.Time
 }
 
 // New returns a prober.
@@ -72,38 +94,41 @@
 }
 
 // Status asks an instance for its report. With an outcome other than Done the
-// instance answered without a report.
+// instance answered without a report. If the instance repeats answers, the report may be
+// that of an earlier request; see FreshStatus.
 func (p *Prober) Status(ctx context.Context, s server.Server) (report.Report, int, error) {
-	return p.call(ctx, s, func(l link.Link) (report.Report, reply.Reply, error) {
-		return l.Status()
-	})
+	return p.call(ctx, s, anyAnswer, link.Link.Status)
+}
+
+// FreshStatus is Status with a report from after the call, at the price of a new connection.
+func (p *Prober) FreshStatus(ctx context.Context, s server.Server) (report.Report, int, error) {
+	return p.call(ctx, s, firstAnswer, link.Link.Status)
 }
 
 // PauseReplication makes a replica stop receiving from its primary, so that a later term
 // can begin.
 func (p *Prober) PauseReplication(ctx context.Context, s server.Server, term uint64) (report.Report, int, error) {
-	return p.call(ctx, s, func(l link.Link) (report.Report, reply.Reply, error) {
+	return p.call(ctx, s, ownAnswer, func(l link.Link) (report.Report, reply.Reply, error) {
 		return l.PauseReplication(term)
 	})
 }
 
 // ResumeReplication makes a replica receive again.
 func (p *Prober) ResumeReplication(ctx context.Context, s server.Server) (report.Report, int, error) {
-	return p.call(ctx, s, func(l link.Link) (report.Report, reply.Reply, error) {
-		return l.ResumeReplication()
-	})
+	return p.call(ctx, s, ownAnswer, link.Link.ResumeReplication)
 }
 
 // StepDown makes an instance that is the primary of an earlier term a replica.
 func (p *Prober) StepDown(ctx context.Context, s server.Server, term uint64) (report.Report, int, error) {
-	return p.call(ctx, s, func(l link.Link) (report.Report, reply.Reply, error) {
+	return p.call(ctx, s, ownAnswer, func(l link.Link) (report.Report, reply.Reply, error) {
 		return l.StepDown(term)
 	})
 }
 
-// call runs one request on the connection to an instance, which it opens if
-// needed.
-func (p *Prober) call(ctx context.Context, s server.Server, request func(link.Link) (report.Report, reply.Reply, error)) (report.Report, int, error) {
+// call runs one request on the connection to an instance, which it opens if needed. If the
+// answer may belong to an earlier request although the mode forbids it, the request is sent
+// again on a new connection: commands may run twice.
+func (p *Prober) call(ctx context.Context, s server.Server, mode int, request func(link.Link) (report.Report, reply.Reply, error)) (report.Report, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c := p.conn(s.ID)
@@ -113,20 +138,29 @@
 		return report.Report{}, 0, ctx.Err()
 	}
 	defer c.release()
-	if outcome, err := p.open(ctx, c, s); err != nil || outcome != reply.Done {
-		return report.Report{}, outcome, err
+	c.noteUnread(s.ID)
+	if mode == firstAnswer || mode == ownAnswer && c.reports.Doubtful() {
+		c.close()
 	}
-	deadline, _ := ctx.Deadline()
-	_ = c.link.SetReadDeadline(deadline) // an error shows at the next read
-	_ = c.link.SetWriteDeadline(deadline)
-	p.queries.Add(1)
-	r, answer, err := request(c.link)
-	if err != nil {
+	for {
+		if outcome, err := p.open(ctx, c, s); err != nil || outcome != reply.Done {
+			return report.Report{}, outcome, err
+		}
+		deadline, _ := ctx.Deadline()
+		_ = c.link.SetReadDeadline(deadline) // an error shows at the next read
+		_ = c.link.SetWriteDeadline(deadline)
+		p.queries.Add(1)
+		r, answer, err := request(c.link)
+		if err != nil {
+			c.close()
+			return report.Report{}, 0, err
+		}
+		c.used = time.Now()
+		if own := c.reports.Add(r, answer.Outcome); own || mode == anyAnswer {
+			return r, answer.Outcome, nil
+		}
 		c.close()
-		return report.Report{}, 0, err
 	}
-	c.used = time.Now()
-	return r, answer.Outcome, nil
 }
 
 func (p *Prober) conn(id string) *conn {
@@ -145,7 +179,7 @@
 // open opens the connection unless it was used within idleTimeout. With an
 // outcome other than Done the instance accepts no more connections.
 func (p *Prober) open(ctx context.Context, c *conn, s server.Server) (int, error) {
-	if c.link != nil && time.Since(c.used) < idleTimeout {
+	if c.link != nil && time.Since(c.used) < idleTimeout && time.Now().After(c.repeatsUntil) {
 		return reply.Done, nil
 	}
 	c.close()
@@ -160,6 +194,7 @@
 	r, err := l.StartSession(s.Service, p.workspace(), s.ID)
 	if err == nil && r.Outcome == reply.Done {
 		c.link = l
+		c.reports = pairs.Reports{}
 		return reply.Done, nil
 	}
 	_ = l.Close()
@@ -182,7 +217,9 @@
 		}
 		if time.Since(c.used) >= idleTimeout {
 			c.close()
-			delete(p.conns, id)
+			if time.Now().After(c.repeatsUntil) {
+				delete(p.conns, id)
+			}
 		}
 		c.release()
 	}
@@ -199,6 +236,18 @@
 	return "-"
 }
 
+// noteUnread notes that the instance repeats answers if one has arrived that nobody asked
+// for: it or the one read last is a repetition.
+func (c *conn) noteUnread(instance string) {
+	if c.link == nil || !c.link.HasUnread() {
+		return
+	}
+	if time.Now().After(c.repeatsUntil) {
+		klog.InfoS("an instance sent an answer that nobody asked for; for some time a new connection is used for each status query", "instance", instance, "time", repeatMemory.String())
+	}
+	c.repeatsUntil = time.Now().Add(repeatMemory)
+}
+
 // release lets the next call use the connection.
 func (c *conn) release() {
 	<-c.inUse
--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -295,6 +295,16 @@
 	return len(c.in.segments) == 0 && (c.in.closed || c.in.reset || c.in.broken)
 }
 
+// HasUnread reports whether bytes have arrived that are not read yet.
+func (c *conn) HasUnread() bool {
+	if _, cut := c.net.isCut(c.in.from, c.in.to); cut {
+		return false
+	}
+	c.in.mu.Lock()
+	defer c.in.mu.Unlock()
+	return len(c.in.segments) > 0 && !time.Now().Before(c.in.segments[0].at)
+}
+
 // reset makes reads and writes of both ends fail, as a TCP reset does.
 func (c *conn) reset() {
 	c.in.close(true)
--- a/internal/standin/simcon/simcon.go
+++ b/internal/standin/simcon/simcon.go
@@ -137,6 +137,11 @@
 	return !c.peerClosed.Load()
 }
 
+// HasUnread reports that nothing has arrived.
+func (c *Conn) HasUnread() bool {
+	return false
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.closed.Store(true)
