--- a/internal/services/poller/poller_test.go
+++ b/internal/services/poller/poller_test.go
@@ -21,6 +21,7 @@
 	"wasabislip.example/wasabislip/internal/services/link"
 	"wasabislip.example/wasabislip/internal/services/poller"
 	"wasabislip.example/wasabislip/internal/services/probe"
+	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
 const (
@@ -50,6 +51,8 @@
 	dials     int
 	questions int
 	unknown   bool
+	// rank is the host's place among the pollers.
+	rank int
 	// repeats are the instances that send each answer twice, the second time while the
 	// next request is under way.
 	repeats map[string]bool
@@ -199,6 +202,22 @@
 		time.Sleep(renewals)
 		is.True(w.countQuestions() >= 3)
 	})
+	run(t, "renewals by the first poller are enough for the others", func(is *is.I, w *world) {
+		w.mu.Lock()
+		w.rank = 1
+		w.mu.Unlock()
+		time.Sleep(renewals) // alone, it renews the lease
+		is.True(w.view.HasLease("i-1"))
+		before := w.countDials()
+		for range 20 {
+			w.view.RecordPosition("i-1", uptime.Now(), logpos.Position{
+				Term: 1,
+			})
+			w.view.RenewLease("i-1", uptime.Now())
+			time.Sleep(600 * time.Millisecond)
+		}
+		is.True(w.countDials()-before <= 3) // a round under way
+	})
 	run(t, "nothing is polled while the other hosts are not known", func(is *is.I, w *world) {
 		w.mu.Lock()
 		w.unknown = true
@@ -321,9 +340,14 @@
 func (w *world) AsOf(string) time.Duration               { return 0 }
 func (w *world) LeasesAsOf() time.Duration               { return 1 } // the only copy is from long ago
 func (w *world) RankingVersion() uint64                  { return 1 }
-func (w *world) Rank(string) int                         { return 0 }
 func (w *world) IsAmong(string, int) bool                { return true }
 
+func (w *world) Rank(string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rank
+}
+
 func (w *world) KnowsFleet() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
