--- a/internal/services/conns/repeat.go
+++ b/internal/services/conns/repeat.go
@@ -37,7 +37,7 @@
 // noteUnread records that an answer came on an idle connection, to which no statement
 // waited for one. The caller holds mu.
 func (p *Pool) noteUnread(c *pconn.Conn) {
-	if c.Link.IsClosed() {
+	if !c.Link.HasUnread() {
 		return
 	}
 	p.repeatedUntil = time.Now().Add(repeatMemory)
--- a/internal/services/link/link.go
+++ b/internal/services/link/link.go
@@ -49,9 +49,8 @@
 	// IsOpen reports whether the instance has left an idle connection open.
 	// Nothing that was not asked for may have arrived on it.
 	IsOpen() bool
-	// IsClosed reports whether the instance has closed the connection and all that it
-	// sent has been read.
-	IsClosed() bool
+	// HasUnread reports whether the instance has sent something on an idle connection.
+	HasUnread() bool
 	// Close closes the connection. The instance rolls an open transaction back.
 	Close() error
 }
--- a/internal/standin/simcon/simcon.go
+++ b/internal/standin/simcon/simcon.go
@@ -137,9 +137,9 @@
 	return !c.peerClosed.Load()
 }
 
-// IsClosed reports whether CloseFromPeer was called.
-func (c *Conn) IsClosed() bool {
-	return c.peerClosed.Load()
+// HasUnread reports that nothing has arrived.
+func (c *Conn) HasUnread() bool {
+	return false
 }
 
 // Close closes the connection.
