--- a/internal/services/runner/runner_test.go
+++ b/internal/services/runner/runner_test.go
@@ -102,6 +102,38 @@
 	})
 }
 
+// Guards against a connection that is used again although the answer to a statement on it may
+// still come: one whose read was refused twice, after other unsigned answers.
+func TestUnusableConnection(t *testing.T) {
+	is := is.New(t)
+	i := &instance{
+		state:   reply.Idle,
+		outcome: reply.Busy,
+	}
+	i.pool = conns.New(server.Server{
+		ID:    "i-1",
+		Slots: 3,
+	}, i)
+	i.pool.Resize(10, 1)
+	r := runner.New(i, i)
+	for n := range 2 {
+		a, err := r.Do(t.Context(), &task.Task{
+			Kind:     task.Autocommit,
+			Instance: "i-1",
+			Query: query.Query{
+				Kind: query.Read,
+			},
+			SessionValues: map[string]string{
+				"zone": "east",
+			},
+			Deadline: time.Now().Add(time.Second),
+		})
+		is.NoErr(err)
+		is.Equal(a.Outcome, reply.Busy)
+		is.Equal(i.links[0].Closed(), n == 1)
+	}
+}
+
 // TestCounts guards against reports that differ from what instances ran.
 func TestCounts(t *testing.T) {
 	count := func(what string, wanted uint64, state, outcome int, lost bool, workspace string, kinds ...int) {
--- a/internal/standin/simcon/simcon.go
+++ b/internal/standin/simcon/simcon.go
@@ -33,6 +33,7 @@
 	unanswered []query.Query
 	signed     int
 
+	unread     atomic.Bool
 	peerClosed atomic.Bool
 	closed     atomic.Bool
 }
@@ -42,6 +43,12 @@
 	c.peerClosed.Store(true)
 }
 
+// SendUnasked makes the connection behave as if the instance had sent an answer to which no
+// statement waits.
+func (c *Conn) SendUnasked() {
+	c.unread.Store(true)
+}
+
 // Closed reports whether Close was called.
 func (c *Conn) Closed() bool {
 	return c.closed.Load()
@@ -132,14 +139,15 @@
 	return nil
 }
 
-// IsOpen reports whether the connection is open: CloseFromPeer was not called.
+// IsOpen reports whether the connection is open: neither CloseFromPeer nor SendUnasked was
+// called.
 func (c *Conn) IsOpen() bool {
-	return !c.peerClosed.Load()
+	return !c.peerClosed.Load() && !c.unread.Load()
 }
 
-// HasUnread reports that nothing has arrived.
+// HasUnread reports whether SendUnasked was called.
 func (c *Conn) HasUnread() bool {
-	return false
+	return c.unread.Load()
 }
 
 // Close closes the connection.
