Close a connection to PostgreSQL whose answer does not fit its batch

A message that does not answer the batch was passed on to the caller's host, which ended the caller's session, but the connection went back to the pool out of step: ProcessAnswer took any message that completes an answer for the one that was due, and a ReadyForQuery for the end of the batch. Each message must now be one that may answer the frontend message that is due, and the batch must be answered up to its Sync. Otherwise the connection is closed and logged, a read runs on another instance, and the outcome of a write is unknown.

Not covered: a late answer of the same shape that arrives while the batch is under way, since PostgreSQL's answers name no statement.

--- a/internal/modules/batch/batch.go
+++ b/internal/modules/batch/batch.go
@@ -206,32 +206,45 @@
 
 // ProcessAnswer takes the next message that the instance sent. It returns how
 // many ParseComplete messages to send to the caller first, and whether to send m
-// itself to the caller.
-func (b *Batch) ProcessAnswer(m pgproto3.BackendMessage) (parsed int, pass bool) {
-	kind := answeredKind(m)
-	if kind == 0 {
-		return 0, true
-	}
-	if kind == 'X' {
+// itself to the caller. An error says that m does not answer the batch, so that the
+// connection must not be used again.
+func (b *Batch) ProcessAnswer(m pgproto3.BackendMessage) (parsed int, pass bool, err error) {
+	switch m.(type) {
+	case *pgproto3.NoticeResponse, *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
+		return 0, true, nil
+	case *pgproto3.ErrorResponse:
 		b.skipToSync()
-		return 0, true
+		return 0, true, nil
 	}
 	for len(b.queue) > 0 && b.queue[0].action == synthesize {
 		parsed++
 		b.queue = b.queue[1:]
 	}
 	if len(b.queue) == 0 {
-		return parsed, true
+		return 0, false, mismatch(m, "nothing")
 	}
 	head := b.queue[0]
-	if head.kind == 'Q' && kind != 'S' {
-		return parsed, true
+	last, ok := answers(head.kind, m)
+	if !ok {
+		return 0, false, mismatch(m, fmt.Sprintf("the answer to a message %q", head.kind))
+	}
+	if !last {
+		return parsed, true, nil
 	}
 	b.queue = b.queue[1:]
-	if head.kind == 'P' && kind == 'P' {
+	if head.kind == 'P' {
 		b.conn.AddStatement(head.name)
 	}
-	return parsed, head.action == forward
+	return parsed, head.action == forward, nil
+}
+
+// mismatch returns the fault for a message that does not answer the batch.
+func mismatch(m pgproto3.BackendMessage, due string) error {
+	return fault.New(
+		fault.OutcomeUnknown,
+		fmt.Sprintf("the instance sent %T where %s was due", m, due),
+		"look up the batch's effect before sending it again",
+	)
 }
 
 // skipToSync drops the expected answers up to the next Sync: after an error the
@@ -242,24 +255,29 @@
 	}
 }
 
-// answeredKind returns the type byte of the frontend message whose answer m
-// completes: 0 for none, X for an error.
-func answeredKind(m pgproto3.BackendMessage) byte {
-	switch m.(type) {
+// answers reports whether m may answer a frontend message with this type byte, and
+// whether it is the last message that does.
+func answers(kind byte, m pgproto3.BackendMessage) (last, ok bool) {
+	switch m := m.(type) {
 	case *pgproto3.ParseComplete:
-		return 'P'
+		return true, kind == 'P'
 	case *pgproto3.BindComplete:
-		return 'B'
+		return true, kind == 'B'
+	case *pgproto3.CloseComplete:
+		return true, kind == 'C'
+	case *pgproto3.ParameterDescription:
+		return false, kind == 'D'
 	case *pgproto3.RowDescription, *pgproto3.NoData:
-		return 'D'
+		return kind == 'D', kind == 'D' || kind == 'Q'
+	case *pgproto3.DataRow,
+		*pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse,
+		*pgproto3.CopyData, *pgproto3.CopyDone:
+		return false, kind == 'E' || kind == 'Q'
 	case *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
-		return 'E'
-	case *pgproto3.CloseComplete:
-		return 'C'
+		return kind == 'E', kind == 'E' || kind == 'Q'
 	case *pgproto3.ReadyForQuery:
-		return 'S'
-	case *pgproto3.ErrorResponse:
-		return 'X'
+		known := m.TxStatus == 'I' || m.TxStatus == 'T' || m.TxStatus == 'E'
+		return true, known && (kind == 'S' || kind == 'Q')
 	}
-	return 0
+	return false, false
 }
--- a/internal/modules/batch/batch_test.go
+++ b/internal/modules/batch/batch_test.go
@@ -40,11 +40,14 @@
 }
 
 // replay passes the instance's answers to b and returns the type bytes of the messages
-// that the caller gets.
+// that the caller gets, and ! at the first message that does not answer b.
 func replay(b *batch.Batch, answers ...pgproto3.BackendMessage) string {
 	s := ""
 	for _, a := range answers {
-		parsed, pass := b.ProcessAnswer(a)
+		parsed, pass, err := b.ProcessAnswer(a)
+		if err != nil {
+			return s + "!"
+		}
 		for range parsed {
 			s += "1"
 		}
@@ -121,6 +124,81 @@
 		is.Equal(replay(b, &pgproto3.CloseComplete{}, bound, ready), "2Z")
 		is.True(!c.HasStatement("0"))
 	})
+	// Guards against a connection that goes back to the pool out of step, after an
+	// answer that belongs to an earlier batch.
+	late := []struct {
+		name     string
+		messages []byte
+		answers  []pgproto3.BackendMessage
+		passed   string
+	}{
+		{
+			name:     "answer to a simple query in place of an extended one",
+			messages: encode(is.New(t), bind(""), execute, sync),
+			answers:  []pgproto3.BackendMessage{completed, ready},
+			passed:   "!",
+		},
+		{
+			name:     "answer to an extended query in place of a simple one",
+			messages: encode(is.New(t), &pgproto3.Query{}),
+			answers:  []pgproto3.BackendMessage{bound, completed, ready},
+			passed:   "!",
+		},
+		{
+			name:     "ReadyForQuery before the batch is answered",
+			messages: encode(is.New(t), bind(""), execute, sync),
+			answers:  []pgproto3.BackendMessage{ready},
+			passed:   "!",
+		},
+		{
+			name:     "row where none is due",
+			messages: encode(is.New(t), bind(""), execute, sync),
+			answers:  []pgproto3.BackendMessage{&pgproto3.DataRow{}},
+			passed:   "!",
+		},
+		{
+			name:     "one answer too many",
+			messages: encode(is.New(t), bind(""), execute, sync),
+			answers:  []pgproto3.BackendMessage{bound, completed, completed},
+			passed:   "2C!",
+		},
+		{
+			name:     "answer of other messages after an error",
+			messages: encode(is.New(t), bind(""), execute, sync),
+			answers:  []pgproto3.BackendMessage{failed, bound},
+			passed:   "E!",
+		},
+		{
+			name:     "ReadyForQuery with an unknown transaction status",
+			messages: encode(is.New(t), sync),
+			answers:  []pgproto3.BackendMessage{&pgproto3.ReadyForQuery{}},
+			passed:   "!",
+		},
+		{
+			name:     "answer after the end of the batch",
+			messages: encode(is.New(t), sync),
+			answers:  []pgproto3.BackendMessage{ready, ready},
+			passed:   "Z!",
+		},
+	}
+	for _, c := range late {
+		t.Run("mismatch: "+c.name, func(t *testing.T) {
+			is := is.New(t)
+			b, err := batch.New(&dbconn.Conn{}, c.messages, lookup)
+			is.NoErr(err)
+			is.Equal(replay(b, c.answers...), c.passed)
+		})
+	}
+	t.Run("asynchronous messages may come at any place", func(t *testing.T) {
+		is := is.New(t)
+		b, err := batch.New(&dbconn.Conn{}, encode(is, bind(""), execute, sync), lookup)
+		is.NoErr(err)
+		is.Equal(replay(
+			b,
+			&pgproto3.NoticeResponse{}, bound, &pgproto3.ParameterStatus{}, completed,
+			&pgproto3.NotificationResponse{}, ready,
+		), "N2SCAZ")
+	})
 	for _, bad := range [][]byte{nil, {'Q'}, {'S', 0, 0, 0, 3}, {'Q', 0, 0, 0, 90}, {'E', 0, 0, 0, 4}} {
 		t.Run("refuses "+strconv.Quote(string(bad)), func(t *testing.T) {
 			is := is.New(t)
--- a/internal/services/exec/answer.go
+++ b/internal/services/exec/answer.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"k8s.io/klog/v2"
 
 	v1 "wasabislip.example/wasabislip/internal/gen/wasabislip/v1"
 	"wasabislip.example/wasabislip/internal/modules/batch"
@@ -62,7 +63,11 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", errConnBroken, err)
 		}
-		parsed, pass := b.ProcessAnswer(m)
+		parsed, pass, err := b.ProcessAnswer(m)
+		if err != nil {
+			klog.InfoS("connection to an instance closed: its answer does not fit the batch", "instance", a.run.executor.coordinator.Database().Instances[a.index].Name, "process", c.ProcessID, "err", err)
+			return fmt.Errorf("%w: %w", errConnBroken, err)
+		}
 		for range parsed {
 			if err := a.buffer(ctx, &pgproto3.ParseComplete{}); err != nil {
 				return err
