Refuse a batch that goes on after its Sync or Query

The answer to a batch is read up to the first ReadyForQuery. A batch of another host with a second Sync or Query, which the product itself does not send, left the rest of its answer on the pooled connection for the next session.

--- a/internal/modules/batch/batch.go
+++ b/internal/modules/batch/batch.go
@@ -45,6 +45,8 @@
 	queue []expected
 	// pending holds the statements that a Parse of this batch prepares.
 	pending map[string]bool
+	// ended is set once a Query or Sync was added; nothing may follow it.
+	ended bool
 }
 
 // New prepares messages for conn. They are one Query, or extended query messages
@@ -72,6 +74,12 @@
 			return nil, malformed("a message is cut short")
 		}
 		last = messages[0]
+		if b.ended || (last == 'Q' && len(b.queue) > 0) {
+			// The answer is read up to the first ReadyForQuery. What follows it would
+			// be taken for the answer to the connection's next batch.
+			return nil, malformed("the batch goes on after a Sync, or holds more than one Query")
+		}
+		b.ended = last == 'S' || last == 'Q'
 		if err := b.addMessage(messages[:size]); err != nil {
 			return nil, err
 		}
--- a/internal/modules/batch/batch_test.go
+++ b/internal/modules/batch/batch_test.go
@@ -199,6 +199,20 @@
 			&pgproto3.NotificationResponse{}, ready,
 		), "N2SCAZ")
 	})
+	// Guards against answers that are still on their way after the first ReadyForQuery.
+	for name, messages := range map[string][]byte{
+		"two Sync messages":       encode(is.New(t), bind(""), sync, bind(""), sync),
+		"two Query messages":      encode(is.New(t), &pgproto3.Query{}, &pgproto3.Query{}),
+		"a Query after a Bind":    encode(is.New(t), bind(""), &pgproto3.Query{}),
+		"a Bind after a Query":    encode(is.New(t), &pgproto3.Query{}, bind(""), sync),
+		"an Execute after a Sync": encode(is.New(t), sync, execute, sync),
+	} {
+		t.Run("refuses "+name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := batch.New(&dbconn.Conn{}, messages, lookup)
+			is.True(fault.IsKind(err, fault.BadRequest))
+		})
+	}
 	for _, bad := range [][]byte{nil, {'Q'}, {'S', 0, 0, 0, 3}, {'Q', 0, 0, 0, 90}, {'E', 0, 0, 0, 4}} {
 		t.Run("refuses "+strconv.Quote(string(bad)), func(t *testing.T) {
 			is := is.New(t)
