Don't run a batch on a PostgreSQL connection with unread input

After an instance had answered twice, the second answer was taken for that of the next batch on the connection: a read got the value of an earlier one, and a batch of a transaction the answer to the one before. Nothing looked for unread input on an idle connection of the pool or on that of an open transaction.

The pool now closes an idle connection that has unread input or was closed by the instance. Between two batches of a transaction, notices, notifications and changed parameters are read; anything else closes the connection, which rolls the transaction back, and the batch is refused as not run.

Not covered: a second answer that arrives while the next batch is under way.

--- a/internal/modules/dbconn/dbconn.go
+++ b/internal/modules/dbconn/dbconn.go
@@ -7,6 +7,8 @@
 	"net"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"wasabislip.example/wasabislip/internal/modules/alive"
 )
 
 // StatementLimit is how many prepared statements a connection keeps.
@@ -36,6 +38,12 @@
 	statements map[string]*list.Element
 }
 
+// IsIdle reports whether the connection is open and all input was read. Input that
+// came after the last ReadyForQuery would be taken for the answer to the next batch.
+func (c *Conn) IsIdle() bool {
+	return c.Frontend.ReadBufferLen() == 0 && alive.IsOpen(c.Net)
+}
+
 // HasStatement reports whether the statement is prepared, and marks it as used.
 func (c *Conn) HasStatement(name string) bool {
 	e, ok := c.statements[name]
--- a/internal/services/exec/batch.go
+++ b/internal/services/exec/batch.go
@@ -97,6 +97,8 @@
 		if _, err := r.connect(ctx, r.index); err != nil {
 			return a, err
 		}
+	} else if err := r.drainPinned(ctx); err != nil {
+		return a, err
 	}
 	b, err := batch.New(r.conn, request.GetMessages(), definitions(request))
 	if err != nil {
--- a/internal/services/exec/group_test.go
+++ b/internal/services/exec/group_test.go
@@ -43,7 +43,11 @@
 	hangStatements bool
 	// dropStatements closes the connection in place of an answer.
 	dropStatements bool
-	dials          int
+	// repeatAnswers sends each answer twice at once.
+	repeatAnswers bool
+	// asyncMessages is sent after each answer.
+	asyncMessages []byte
+	dials         int
 }
 
 // fakeGroup is a fake group of instances. It replicates every millisecond; lag is
@@ -99,6 +103,11 @@
 func (g *fakeGroup) primary() *fakeInstance {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.primaryLocked()
+}
+
+// primaryLocked returns the primary. The caller holds mu.
+func (g *fakeGroup) primaryLocked() *fakeInstance {
 	var best *fakeInstance
 	for _, n := range g.instances {
 		if n.role == status.Primary && (best == nil || n.term > best.term) {
@@ -242,9 +251,9 @@
 		conn:     server,
 		term:     term,
 		readOnly: readOnly,
-		backend:  pgproto3.NewBackend(server, server),
 		prepared: map[string]string{},
 	}
+	s.backend = pgproto3.NewBackend(server, s)
 	go s.serve(server)
 	return &dbconn.Conn{
 		Net:      client,
@@ -268,6 +277,23 @@
 	failed        bool
 }
 
+// Write sends an answer, and what the instance is set to send with it.
+func (s *fakeSession) Write(p []byte) (int, error) {
+	n := s.node
+	n.group.mu.Lock()
+	var out []byte
+	out = append(out, p...)
+	if n.repeatAnswers {
+		out = append(out, p...)
+	}
+	out = append(out, n.asyncMessages...)
+	n.group.mu.Unlock()
+	if _, err := s.conn.Write(out); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
 func (s *fakeSession) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	for {
--- a/internal/services/pool/pool.go
+++ b/internal/services/pool/pool.go
@@ -5,6 +5,8 @@
 	"context"
 	"sync"
 
+	"k8s.io/klog/v2"
+
 	"wasabislip.example/wasabislip/internal/modules/dbconn"
 	"wasabislip.example/wasabislip/pkg/model/fault"
 )
@@ -64,16 +66,21 @@
 }
 
 // Get returns a connection of the pool's term, read-only or not. It waits while
-// all are in use.
+// all are in use. Idle connections with unread input are closed.
 func (p *Pool) Get(ctx context.Context, readOnly bool) (*dbconn.Conn, error) {
 	for {
 		c, evicted, wait := p.reserve(readOnly)
 		if evicted != nil {
 			_ = evicted.Net.Close()
 		}
-		if c != nil {
+		if c != nil && c.IsIdle() {
 			return c, nil
 		}
+		if c != nil {
+			klog.V(1).InfoS("idle connection to an instance closed: the instance has ended it, or sent what no batch asked for", "process", c.ProcessID)
+			p.Discard(c)
+			continue
+		}
 		if wait == nil {
 			return p.connect(ctx, readOnly)
 		}
