Don't acknowledge a write with the log position of an earlier commit

A repeated answer to a write that arrived while the next write of the connection was under way was taken for that one's answer, with the position of the earlier commit: the write was acknowledged before a majority held it, and even if it then failed. A commit's position must now be later than that of the connection's last commit. Otherwise the connection is closed and the outcome of the write is unknown.

--- a/internal/modules/dbconn/dbconn.go
+++ b/internal/modules/dbconn/dbconn.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"wasabislip.example/wasabislip/internal/modules/alive"
+	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
 // StatementLimit is how many prepared statements a connection keeps.
@@ -32,6 +33,9 @@
 	// Tainted means that a statement changed the state of the instance's session,
 	// so that the connection is closed after use.
 	Tainted bool
+	// Committed is the log position of the connection's last commit; zero without
+	// one.
+	Committed logpos.Position
 
 	// lru holds the names of the prepared statements, most recently used first.
 	lru        list.List
--- a/internal/services/exec/answer.go
+++ b/internal/services/exec/answer.go
@@ -102,7 +102,16 @@
 		if err != nil {
 			return err
 		}
+		if !p.Newer(c.Committed) {
+			// A write must not be acknowledged once a majority holds an earlier one.
+			return fault.New(
+				fault.OutcomeUnknown,
+				"the instance answered with the log position of an earlier commit",
+				"read what the request wrote before repeating it",
+			)
+		}
 		a.position = p
+		c.Committed = p
 		return nil
 	case *pgproto3.NotificationResponse:
 		c.Tainted = true
--- a/internal/services/exec/group_test.go
+++ b/internal/services/exec/group_test.go
@@ -43,8 +43,9 @@
 	hangStatements bool
 	// dropStatements closes the connection in place of an answer.
 	dropStatements bool
-	// repeatAnswers sends each answer twice at once.
-	repeatAnswers bool
+	// repeatAnswers sends each answer twice at once, and delayedRepeat sends the
+	// one before again in front of each answer.
+	repeatAnswers, delayedRepeat bool
 	// asyncMessages is sent after each answer.
 	asyncMessages []byte
 	dials         int
@@ -275,6 +276,7 @@
 	inTransaction bool
 	pending       []string
 	failed        bool
+	lastAnswer    []byte
 }
 
 // Write sends an answer, and what the instance is set to send with it.
@@ -282,12 +284,16 @@
 	n := s.node
 	n.group.mu.Lock()
 	var out []byte
+	if n.delayedRepeat {
+		out = append(out, s.lastAnswer...)
+	}
 	out = append(out, p...)
 	if n.repeatAnswers {
 		out = append(out, p...)
 	}
 	out = append(out, n.asyncMessages...)
 	n.group.mu.Unlock()
+	s.lastAnswer = append([]byte(nil), p...)
 	if _, err := s.conn.Write(out); err != nil {
 		return 0, err
 	}
--- a/internal/services/exec/repeat_test.go
+++ b/internal/services/exec/repeat_test.go
@@ -63,6 +63,17 @@
 			acknowledged(is, h.write(t, "z"))
 		})
 	})
+	t.Run("a write is not acknowledged with the position of an earlier one", func(t *testing.T) {
+		withFakeGroup(t, func(is *is.I, _ context.Context, g *fakeGroup, _ *fakeTable, h *host) {
+			acknowledged(is, h.write(t, "x"))
+			g.set(func() { g.primaryLocked().delayedRepeat = true })
+			r := h.write(t, "y")
+			is.Equal(r.kind, fault.OutcomeUnknown)
+			is.True(!r.done)
+			g.set(func() { g.primaryLocked().delayedRepeat = false })
+			acknowledged(is, h.write(t, "z"))
+		})
+	})
 	t.Run("asynchronous messages end no transaction", func(t *testing.T) {
 		withFakeGroup(t, func(is *is.I, _ context.Context, g *fakeGroup, _ *fakeTable, h *host) {
 			acknowledged(is, h.write(t, "x"))
