Answer no Rollback of another host, not even an invalid one

A Rollback has no answer, so that the sender uses the connection for its next task at once. One whose fields were refused was answered nonetheless, and that answer was taken for the one to the next task.

Evidence: TestRefusedTask failed before and passes.

--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -206,7 +206,7 @@
 		if t.Kind != task.Rollback && !c.isAwaited() {
 			return errAbandoned
 		}
-		if invalid != nil {
+		if invalid != nil && t.Kind != task.Rollback {
 			if err := c.writeReply(&reply.Reply{}, invalid); err != nil {
 				return err
 			}
