Number the tasks between hosts, and check the number of each answer

Tasks and answers between hosts were matched by their order alone. An answer that a host sent twice was noticed on an idle connection, but not while the next task was under way or a transaction open: that task then got the answer to the one before. Tasks now have a number, which the answer repeats. Hosts of earlier builds send no number and are not checked.

--- a/internal/routers/tasks/invalid_test.go
+++ b/internal/routers/tasks/invalid_test.go
@@ -41,10 +41,12 @@
 			Kind:      task.Admit,
 			Workspace: "w",
 			TimeoutMs: 800,
+			Number:    7,
 		}))
 		is.NoErr(err)
 		var a wasabislipv1.ErrandAnswer
 		is.NoErr(protodelim.UnmarshalFrom(bufio.NewReader(conn), &a))
 		is.Equal(a.GetFault(), "")
+		is.Equal(a.GetNumber(), uint64(7))
 	})
 }
--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -207,7 +207,7 @@
 			return errAbandoned
 		}
 		if invalid != nil && t.Kind != task.Rollback {
-			if err := c.writeReply(&reply.Reply{}, invalid); err != nil {
+			if err := c.writeReply(m.GetNumber(), &reply.Reply{}, invalid); err != nil {
 				return err
 			}
 			continue
@@ -218,7 +218,7 @@
 			c.setBusy(false)
 			continue
 		}
-		if err := c.writeReply(&r, err); err != nil {
+		if err := c.writeReply(m.GetNumber(), &r, err); err != nil {
 			return err
 		}
 		c.setBusy(err == nil && r.State != reply.Idle)
@@ -268,9 +268,9 @@
 	return s.Reporter.Add(m)
 }
 
-// writeReply sends the answer to a task. A failure is sent as a fault: if it is not
+// writeReply sends the answer to the task with a number. A failure is sent as a fault: if it is not
 // a fault itself, the outcome counts as unknown.
-func (c *peerConn) writeReply(r *reply.Reply, failure error) error {
+func (c *peerConn) writeReply(number uint64, r *reply.Reply, failure error) error {
 	m := &wasabislipv1.ErrandAnswer{
 		Rows:         r.Rows,
 		Outcome:      int32(r.Outcome),
@@ -282,6 +282,7 @@
 		Term:         r.Position.Term,
 		Offset:       r.Position.Offset,
 		Load:         encodeLoad(r.Load),
+		Number:       number,
 	}
 	if failure != nil {
 		m.Fault = fault.OutcomeUnknown
--- a/internal/services/forwd/remote.go
+++ b/internal/services/forwd/remote.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"k8s.io/klog/v2"
 
 	wasabislipv1 "wasabislip.example/wasabislip/internal/gen/wasabislip/v1"
 	"wasabislip.example/wasabislip/internal/models/load"
@@ -51,9 +53,11 @@
 type remote struct {
 	// host is the holder's name.
 	host string
-	net  net.Conn
-	r    *bufio.Reader
-	w    *bufio.Writer
+	// number is that of the last task that was sent.
+	number uint64
+	net    net.Conn
+	r      *bufio.Reader
+	w      *bufio.Writer
 }
 
 // connect opens a connection to a host.
@@ -99,6 +103,11 @@
 	if err := protodelim.UnmarshalFrom(r.r, &a); err != nil {
 		return reply.Reply{}, err
 	}
+	// Hosts of earlier builds number no answers.
+	if n := a.GetNumber(); n != 0 && n != r.number {
+		klog.InfoS("connection to a host closed: its answer is that to another task", "host", r.host, "task", r.number, "answered", n)
+		return reply.Reply{}, fmt.Errorf("host %s answered task %d of the connection, not task %d", r.host, n, r.number)
+	}
 	if a.GetFault() != "" {
 		after := time.Duration(a.GetRetryAfterMs()) * time.Millisecond
 		return reply.Reply{
@@ -139,7 +148,9 @@
 
 // send sends a task without waiting for its answer.
 func (r *remote) send(t *task.Task) error {
+	r.number++
 	_, err := protodelim.MarshalTo(r.w, &wasabislipv1.Errand{
+		Number:    r.number,
 		Kind:      int32(t.Kind),
 		Instance:  t.Instance,
 		Workspace: t.Workspace,
