Refuse a caller's message whose length and fields do not agree

The decoder of Parse, Bind and Execute ignores what follows the last field. A statement with a zero byte in its text could be cut there and run, where the rest had the form of no parameter types; and a message with too great a length swallowed the next one. PostgreSQL ends the session for both. The session now notes the length of each message and compares it with that of the fields, and ends with 08P01.

--- a/internal/routers/caller/read.go
+++ b/internal/routers/caller/read.go
@@ -15,10 +15,13 @@
 // readBatches queues batches until the caller leaves or sends something that
 // cannot be read. It stops reading while the queue is full (backpressure).
 func (c *session) readBatches(ctx context.Context) {
-	backend := pgproto3.NewBackend(c.conn, c.conn)
+	lengths := &lengthReader{
+		r: c.conn,
+	}
+	backend := pgproto3.NewBackend(lengths, c.conn)
 	backend.SetMaxBodyLen(c.limits.MessageBytes)
 	for {
-		b := c.readBatch(backend)
+		b := c.readBatch(backend, lengths)
 		if c.queuedBytes.Acquire(ctx, int64(b.Bytes)) != nil {
 			return
 		}
@@ -34,13 +37,16 @@
 }
 
 // readBatch reads the messages of one batch.
-func (c *session) readBatch(backend *pgproto3.Backend) *input.Batch {
+func (c *session) readBatch(backend *pgproto3.Backend, lengths *lengthReader) *input.Batch {
 	b := &input.Batch{}
 	for {
 		msg, err := backend.Receive()
 		if err != nil {
 			return batchForReadError(err)
 		}
+		if err := lengths.check(msg); err != nil {
+			return malformedBatch(err)
+		}
 		if _, ok := msg.(*pgproto3.PasswordMessage); ok {
 			return malformedBatch(fault.New(fault.BadRequest, "a password message came inside the session", "connect again"))
 		}
