Show that a cancelled connection is not reused, and all is skipped up to a Sync

They guard against a late cancel request that ends a statement of another session, and against statements that run after an error.

--- a/internal/routers/caller/wire_test.go
+++ b/internal/routers/caller/wire_test.go
@@ -323,6 +323,29 @@
 			is.New(t).Equal(len(backend.queries), 0)
 		})
 	})
+	// Guards against statements that run after an error although PostgreSQL would have
+	// skipped them, and against answers to messages that are skipped.
+	t.Run("after an error of the database all is skipped up to the Sync", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			backend := newFakeBackend()
+			c := dial(t, backend, limits.Limits{})
+			c.logIn()
+			c.send(query("begin"))
+			c.expect("TDCZ")
+			all := append(extended("boom"), &pgproto3.Flush{})
+			all = append(all, extended("select '2'")...)
+			all = append(all, &pgproto3.Flush{}, query("select '3'"))
+			all = append(all, extended("select '4'")...)
+			all = append(all, &pgproto3.Sync{}, query("rollback"))
+			go c.post(all...)
+			c.expect("12T")
+			c.expectError("XX001")
+			c.expectReady('E')
+			c.expect("TDC")
+			c.expectReady('I')
+			is.New(t).Equal(len(backend.queries), 3) // begin, boom and rollback
+		})
+	})
 	t.Run("a Parse and Describe alone are answered", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			c := dial(t, newFakeBackend(), limits.Limits{})
--- a/internal/services/exec/exec_test.go
+++ b/internal/services/exec/exec_test.go
@@ -75,6 +75,30 @@
 			is.Equal(p.dials, 2)
 		})
 	})
+	// Guards against a cancel request that arrives late and ends a statement of
+	// another session.
+	t.Run("connection of a cancelled batch is not used again", func(t *testing.T) {
+		withFakeGroup(t, func(is *is.I, _ context.Context, g *fakeGroup, _ *fakeTable, h *host) {
+			acknowledged(is, h.write(t, "x"))
+			p := g.primary()
+			var wg conc.WaitGroup
+			wg.Go(func() {
+				h.call(t, &v1.Open{
+					Route:     "write",
+					RequestId: "slow",
+				}, query("sleep 100ms"), time.Second)
+			})
+			time.Sleep(50 * time.Millisecond)
+			is.NoErr(h.Cancel(h.ctx, "slow"))
+			wg.Wait()
+			is.Equal(p.dials, 1)
+			is.NoErr(h.Cancel(h.ctx, "slow")) // of a batch that has ended
+			acknowledged(is, h.write(t, "y"))
+			is.Equal(p.dials, 2)
+			acknowledged(is, h.write(t, "z"))
+			is.Equal(p.dials, 2)
+		})
+	})
 	t.Run("read without an answer may have run", func(t *testing.T) {
 		withFakeGroup(t, func(is *is.I, _ context.Context, g *fakeGroup, _ *fakeTable, h *host) {
 			acknowledged(is, h.write(t, "x"))
