Count no task as running after a panic

After a panic in the middle of a task the connection was closed without a second answer, which the test now shows, but the task was counted as running for ever, so that the host did not drain.

Evidence: TestPanic failed before (1 task was counted after the connection had ended) and passes.

--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -160,9 +160,11 @@
 		r:      bufio.NewReaderSize(conn, bufferBytes),
 		w:      bufio.NewWriterSize(conn, bufferBytes),
 	}
+	// After a panic the runner is not closed: its connection to the instance may hold
+	// an unread answer, so that it must not go back to the pool.
+	defer c.setBusy(false)
 	err := c.run(ctx)
 	c.runner.Close()
-	c.setBusy(false)
 	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		klog.V(1).InfoS("another host's connection ended", "err", err)
 	}
