--- a/internal/modules/instdb/instdb_test.go
+++ b/internal/modules/instdb/instdb_test.go
@@ -144,6 +144,28 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	})
+	t.Run("a connection for statements", func(t *testing.T) {
+		is := is.New(t)
+		i := newInstance(t)
+		i.repeatAfter = 20 * time.Millisecond
+		conn, err := i.client(t).Dial(t.Context(), 1, false)
+		is.NoErr(err)
+		defer conn.Net.Close()
+		is.True(conn.IsIdle())
+		conn.Frontend.Send(&pgproto3.Query{})
+		is.NoErr(conn.Frontend.Flush())
+		for range len("TDCZ") {
+			_, err := conn.Frontend.Receive()
+			is.NoErr(err)
+		}
+		for range 500 { // until the repeated answer has arrived
+			if !conn.IsIdle() {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Fail() // the repeated answer was not noticed
+	})
 	t.Run("a fence whose answer has an earlier fencing token", func(t *testing.T) {
 		is := is.New(t)
 		i := newInstance(t)
