--- a/internal/modules/dbconn/dbconn.go
+++ b/internal/modules/dbconn/dbconn.go
@@ -7,6 +7,9 @@
 	"net"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"wasabislip.example/wasabislip/internal/modules/alive"
+	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
 
 // StatementLimit is how many prepared statements a connection keeps.
@@ -30,12 +33,21 @@
 	// Tainted means that a statement changed the state of the instance's session,
 	// so that the connection is closed after use.
 	Tainted bool
+	// Committed is the log position of the connection's last commit; zero without
+	// one.
+	Committed logpos.Position
 
 	// lru holds the names of the prepared statements, most recently used first.
 	lru        list.List
 	statements map[string]*list.Element
 }
 
+// IsIdle reports whether the connection is open and all input was read. Input that
+// came after the last ReadyForQuery would be taken for the answer to the next batch.
+func (c *Conn) IsIdle() bool {
+	return c.Frontend.ReadBufferLen() == 0 && alive.IsOpen(c.Net)
+}
+
 // HasStatement reports whether the statement is prepared, and marks it as used.
 func (c *Conn) HasStatement(name string) bool {
 	e, ok := c.statements[name]
--- a/internal/routers/tasks/tasks.go
+++ b/internal/routers/tasks/tasks.go
@@ -160,9 +160,11 @@
 		r:      bufio.NewReaderSize(conn, bufferBytes),
 		w:      bufio.NewWriterSize(conn, bufferBytes),
 	}
+	// After a panic the runner is not closed: its connection to the instance may hold
+	// an unread answer, so that it must not go back to the pool.
+	defer c.setBusy(false)
 	err := c.run(ctx)
 	c.runner.Close()
-	c.setBusy(false)
 	if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		klog.V(1).InfoS("another host's connection ended", "err", err)
 	}
@@ -206,8 +208,8 @@
 		if t.Kind != task.Rollback && !c.isAwaited() {
 			return errAbandoned
 		}
-		if invalid != nil {
-			if err := c.writeReply(&reply.Reply{}, invalid); err != nil {
+		if invalid != nil && t.Kind != task.Rollback {
+			if err := c.writeReply(m.GetNumber(), &reply.Reply{}, invalid); err != nil {
 				return err
 			}
 			continue
@@ -218,7 +220,7 @@
 			c.setBusy(false)
 			continue
 		}
-		if err := c.writeReply(&r, err); err != nil {
+		if err := c.writeReply(m.GetNumber(), &r, err); err != nil {
 			return err
 		}
 		c.setBusy(err == nil && r.State != reply.Idle)
@@ -268,9 +270,9 @@
 	return s.Reporter.Add(m)
 }
 
-// writeReply sends the answer to a task. A failure is sent as a fault: if it is not
+// writeReply sends the answer to the task with a number. A failure is sent as a fault: if it is not
 // a fault itself, the outcome counts as unknown.
-func (c *peerConn) writeReply(r *reply.Reply, failure error) error {
+func (c *peerConn) writeReply(number uint64, r *reply.Reply, failure error) error {
 	m := &wasabislipv1.ErrandAnswer{
 		Rows:         hostpb.RowsToProto(r.Rows),
 		Outcome:      int32(r.Outcome),
@@ -282,6 +284,7 @@
 		Term:         r.Position.Term,
 		Offset:       r.Position.Offset,
 		Load:         encodeLoad(r.Load),
+		Number:       number,
 	}
 	if failure != nil {
 		m.Fault = fault.OutcomeUnknown
--- a/internal/services/exec/group_test.go
+++ b/internal/services/exec/group_test.go
@@ -43,7 +43,12 @@
 	hangStatements bool
 	// dropStatements closes the connection in place of an answer.
 	dropStatements bool
-	dials          int
+	// repeatAnswers sends each answer twice at once, and delayedRepeat sends the
+	// one before again in front of each answer.
+	repeatAnswers, delayedRepeat bool
+	// asyncMessages is sent after each answer.
+	asyncMessages []byte
+	dials         int
 }
 
 // fakeGroup is a fake group of instances. It replicates every millisecond; lag is
@@ -99,6 +104,11 @@
 func (g *fakeGroup) primary() *fakeInstance {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.primaryLocked()
+}
+
+// primaryLocked returns the primary. The caller holds mu.
+func (g *fakeGroup) primaryLocked() *fakeInstance {
 	var best *fakeInstance
 	for _, n := range g.instances {
 		if n.role == status.Primary && (best == nil || n.term > best.term) {
@@ -242,9 +252,9 @@
 		conn:     server,
 		term:     term,
 		readOnly: readOnly,
-		backend:  pgproto3.NewBackend(server, server),
 		prepared: map[string]string{},
 	}
+	s.backend = pgproto3.NewBackend(server, s)
 	go s.serve(server)
 	return &dbconn.Conn{
 		Net:      client,
@@ -266,6 +276,28 @@
 	inTransaction bool
 	pending       []string
 	failed        bool
+	lastAnswer    []byte
+}
+
+// Write sends an answer, and what the instance is set to send with it.
+func (s *fakeSession) Write(p []byte) (int, error) {
+	n := s.node
+	n.group.mu.Lock()
+	var out []byte
+	if n.delayedRepeat {
+		out = append(out, s.lastAnswer...)
+	}
+	out = append(out, p...)
+	if n.repeatAnswers {
+		out = append(out, p...)
+	}
+	out = append(out, n.asyncMessages...)
+	n.group.mu.Unlock()
+	s.lastAnswer = append([]byte(nil), p...)
+	if _, err := s.conn.Write(out); err != nil {
+		return 0, err
+	}
+	return len(p), nil
 }
 
 func (s *fakeSession) serve(conn net.Conn) {
