Let instances disturb a share of their answers, and record transactions and commits

Instances could repeat all answers after one delay, and refuse every nth statement. They now repeat a share, each after a delay of its own, refuse a share of the statements and starts of transactions, break answers off and close, and send answers in pieces with pauses between any two bytes. Each kind is set on its own, for the soak.

An execution holds the block that it ran in, its mode and the shape of its prepared name, and all commits are kept, also those that a later primary lacks. Client.Send sends a statement for callers that leave before its answer.

--- a/internal/standin/linedb/linedb.go
+++ b/internal/standin/linedb/linedb.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -39,8 +40,11 @@
 	instances map[string]*instance
 	// syncReplicas is how many replicas must receive a commit before it is
 	// acknowledged.
-	syncReplicas    int
-	executions      []execution
+	syncReplicas int
+	executions   []Execution
+	commits      []Commit
+	// transactions is how many transactions were begun.
+	transactions    int
 	promotionOrders []string
 	// lastToken and lastHolder are those of the newest order, badTokens the number
 	// of orders that broke their sequence.
@@ -99,6 +103,9 @@
 	// and over; 0 is none. received counts them.
 	refuseEvery int
 	received    int
+	// disturbance is what happens to answers; rng decides to which.
+	disturbance disturbance
+	rng         *rand.Rand
 	// busy tells that status requests and commands are answered BUSY.
 	busy        bool
 	connections int
@@ -142,6 +149,7 @@
 		primary:  len(g.instances) == 0,
 		term:     1,
 		slots:    make(chan struct{}, g.Slots),
+		rng:      rand.New(rand.NewPCG(0, uint64(len(g.instances)))),
 		sessions: map[*session]struct{}{},
 	}
 	if inst.primary {
@@ -250,7 +258,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	inst.received++
-	return inst.refuseEvery > 0 && inst.received%inst.refuseEvery == 0
+	return inst.refuseEvery > 0 && inst.received%inst.refuseEvery == 0 || inst.chance(inst.disturbance.refuseShare)
 }
 
 // recordRows records the rows of an answer to the statement id. The caller holds mu.
@@ -359,13 +367,35 @@
 	})
 }
 
+// Commit is what an instance committed for one statement. A later primary may lack it.
+type Commit struct {
+	// ID is the id of the statement, Instance the one that ran it.
+	ID       string
+	Instance string
+	// Writes are the items and their data, as item=data, in the order of the log.
+	Writes []string
+}
+
+// Commits returns all commits of all instances, in order.
+func (g *Group) Commits() []Commit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.commits)
+}
+
 // appendLog appends the commits of the statement id to the primary's log and sends
 // them to the replicas. The caller holds the group's mutex.
 func (inst *instance) appendLog(id string, writes []commit) {
+	record := Commit{
+		ID:       id,
+		Instance: inst.id,
+	}
 	for i := range writes {
 		writes[i].id = id
 		writes[i].term = inst.term
+		record.Writes = append(record.Writes, writes[i].item+"="+writes[i].data)
 	}
+	inst.group.commits = append(inst.group.commits, record)
 	inst.group.noteCommit(id, inst)
 	inst.log = append(inst.log, writes...)
 	inst.applied = len(inst.log)
@@ -404,8 +434,8 @@
 	return fmt.Sprintf("%d.%d", inst.term, number)
 }
 
-// execution is one statement that an instance ran for a caller.
-type execution struct {
+// Execution is one statement that an instance ran for a caller.
+type Execution struct {
 	// At is when it ran.
 	At time.Time
 	// ID is the statement's id, as the caller gave it; Text is the statement
@@ -417,15 +447,20 @@
 	Workspace string
 	// SessionValues are the session values in force when it ran.
 	SessionValues map[string]string
-	// InTransaction tells that it ran inside a transaction block.
+	// InTransaction tells that it ran inside a transaction block. Transaction is the
+	// number of that block, unique in the group, or 0; ReadOnly is its mode.
 	InTransaction bool
+	Transaction   int
+	ReadOnly      bool
+	// Declared is what the prepared name of an EXECUTE stood for.
+	Declared string
 }
 
 // Executions returns the statements that ran, in order.
-func (g *Group) Executions() []execution {
+func (g *Group) Executions() []Execution {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return append([]execution(nil), g.executions...)
+	return append([]Execution(nil), g.executions...)
 }
 
 // CommittedValue returns the newest value of an item in the log of the newest
--- a/internal/standin/linedb/session.go
+++ b/internal/standin/linedb/session.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"wasabislip.example/wasabislip/internal/standin/crlf"
@@ -24,10 +26,13 @@
 	values    map[string]string
 	prepared  map[string]string
 	tx        *tx
+	// writeMu keeps the pieces of two answers apart.
+	writeMu sync.Mutex
 }
 
 // tx is an open transaction block.
 type tx struct {
+	number   int
 	readOnly bool
 	failed   bool
 	writes   []commit
@@ -92,21 +97,35 @@
 	_, _ = fmt.Fprintf(s.conn, format+"\r\n", args...) // the host may be gone
 }
 
-// answer writes a whole answer at once. An instance that repeats answers writes it again
-// after a while, between two other answers.
+// answer sends a whole answer, as the instance's disturbance says. It is sent once more
+// between two other answers.
 func (s *session) answer(text string) {
-	s.write("%s", text)
-	g := s.instance.group
-	g.mu.Lock()
-	after := s.instance.repeatAfter
-	g.mu.Unlock()
-	if after > 0 {
+	text += "\r\n"
+	d := s.instance.plan(text)
+	s.send(d.pieces, d.pause)
+	if d.breaksOff {
+		_ = s.conn.Close() // the next read ends the session
+		return
+	}
+	for _, after := range d.repeats {
 		time.AfterFunc(after, func() {
-			s.write("%s", text)
+			s.send([]string{text}, 0)
 		})
 	}
 }
 
+// send writes the pieces of one answer with pauses between them.
+func (s *session) send(pieces []string, pause time.Duration) {
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
+	for i, piece := range pieces {
+		if i > 0 {
+			time.Sleep(pause)
+		}
+		_, _ = io.WriteString(s.conn, piece) // the host may be gone
+	}
+}
+
 // startup checks the fields of the STARTUP line and takes a place among the
 // instance's connections.
 func (s *session) startup(fields []string) bool {
@@ -250,8 +269,11 @@
 		s.fail("LAGGING")
 	case mode != "READ" && !primary:
 		s.fail("READONLY")
+	case s.instance.refusesBegin():
+		s.fail("BUSY")
 	default:
 		s.tx = &tx{
+			number:   g.nextTransaction(),
 			readOnly: mode == "READ",
 		}
 		s.complete(id)
@@ -285,7 +307,7 @@
 	}
 	s.occupySlot(g.statementTime())
 	writes := s.tx.writes
-	s.record(id, text)
+	s.record(id, text, "")
 	s.tx = nil
 	if !s.commitWrites(id, writes) {
 		s.fail("READONLY")
@@ -323,31 +345,38 @@
 	return true
 }
 
-// record adds the statement to the group's executions.
-func (s *session) record(id, text string) {
+// record adds the statement to the group's executions. declared is what the prepared
+// name of an EXECUTE stands for.
+func (s *session) record(id, text, declared string) {
 	g := s.instance.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.executions = append(g.executions, execution{
+	e := Execution{
 		At:            time.Now(),
 		ID:            id,
 		Text:          text,
 		Instance:      s.instance.id,
 		Workspace:     s.workspace,
 		SessionValues: maps.Clone(s.values),
-		InTransaction: s.tx != nil,
-	})
+		Declared:      declared,
+	}
+	if s.tx != nil {
+		e.InTransaction = true
+		e.Transaction = s.tx.number
+		e.ReadOnly = s.tx.readOnly
+	}
+	g.executions = append(g.executions, e)
 }
 
 // statement runs a read or a write, given directly or as EXECUTE of a prepared
 // statement.
 func (s *session) statement(id, text, keyword, rest, minPosition string) {
 	g := s.instance.group
-	kind, args := keyword, rest
+	kind, args, declared := keyword, rest, ""
 	if keyword == "EXECUTE" {
 		name, params, _ := strings.Cut(rest, " ")
-		declared, ok := s.prepared[name]
-		if !ok {
+		var ok bool
+		if declared, ok = s.prepared[name]; !ok {
 			s.fail("NOSUCHSTMT")
 			return
 		}
@@ -371,7 +400,7 @@
 		return
 	}
 	s.occupySlot(g.statementTime())
-	s.record(id, text)
+	s.record(id, text, declared)
 	if kind == "READ" {
 		s.complete(id, s.value(item))
 		return
--- a/internal/standin/simcli/simcli.go
+++ b/internal/standin/simcli/simcli.go
@@ -30,8 +30,8 @@
 	statements int
 }
 
-// answer is the answer to one statement.
-type answer struct {
+// Answer is the answer to one statement.
+type Answer struct {
 	// ID is the id that the statement was sent with.
 	ID string
 	// Rows are the rows of the result.
@@ -51,12 +51,12 @@
 }
 
 // OK reports whether the statement succeeded.
-func (a answer) OK() bool {
+func (a Answer) OK() bool {
 	return a.Code == "" && !a.Lost
 }
 
 // Row returns the result's row, or an empty text unless there is exactly one.
-func (a answer) Row() string {
+func (a Answer) Row() string {
 	if len(a.Rows) != 1 {
 		return ""
 	}
@@ -64,7 +64,7 @@
 }
 
 // Open starts a session on a connection to a host and returns the host's answer.
-func Open(conn net.Conn, database, key string, timeout time.Duration) (*Client, answer) {
+func Open(conn net.Conn, database, key string, timeout time.Duration) (*Client, Answer) {
 	c := &Client{
 		AnswerTimeout: timeout,
 		conn:          conn,
@@ -76,10 +76,8 @@
 }
 
 // Do sends a statement and reads its answer.
-func (c *Client) Do(text string) answer {
-	c.statements++
-	id := fmt.Sprintf("c%d-%d", c.session, c.statements)
-	_, _ = fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text) // an error shows in the read
+func (c *Client) Do(text string) Answer {
+	id := c.Send(text)
 	a := c.read(id)
 	if a.OK() && c.Acknowledged != nil {
 		c.Acknowledged(id, a.State == "I" && strings.HasPrefix(text, "WRITE "))
@@ -87,6 +85,15 @@
 	return a
 }
 
+// Send sends a statement without waiting for its answer, as a caller that leaves does,
+// and returns its id.
+func (c *Client) Send(text string) string {
+	c.statements++
+	id := fmt.Sprintf("c%d-%d", c.session, c.statements)
+	_, _ = fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text) // an error shows in the read
+	return id
+}
+
 // Close ends the session.
 func (c *Client) Close() {
 	_ = c.conn.Close()
@@ -94,8 +101,8 @@
 
 // read reads one answer. An error in answer to the first message, which has no id,
 // ends the answer; in answer to a statement, READY follows.
-func (c *Client) read(id string) answer {
-	a := answer{
+func (c *Client) read(id string) Answer {
+	a := Answer{
 		ID: id,
 	}
 	if c.AnswerTimeout > 0 {
@@ -127,7 +134,7 @@
 
 // GuaranteesNoEffect reports whether the error code guarantees that the statement
 // has no effect: it did not run, or it was rolled back.
-func (a answer) GuaranteesNoEffect() bool {
+func (a Answer) GuaranteesNoEffect() bool {
 	switch a.Code {
 	case "BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT":
 		return true
