Let the soak play transactions, prepared statements and disturbed answers

The soak wrote single statements only, so that it could not show a statement that ran outside of its transaction, under another session's values or as another shape. Callers now also run transactions with every kind of end, read-only ones, prepared statements and changes of session values, and leave in the middle. Their data ends and begins with bytes that readers may cut off, and some is 100 KB. Instances repeat, refuse, break off and split a share of their answers, each kind from a random stream of its own.

Checked are the answer of every statement that succeeded, the text, values, shape and block of every statement that ran, all commits of all instances, that no host closes a connection unasked, and that statements of each kind succeed.

--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -48,7 +48,7 @@
 		s.restoreStore(ctx)
 	})
 	running.Go(func() {
-		s.repeatAnswers(ctx)
+		s.disturbAnswers(ctx)
 	})
 	for end := time.Now().Add(s.FaultDuration); time.Now().Before(end) && ctx.Err() == nil; {
 		kind := kinds[s.rng.IntN(len(kinds))]
@@ -179,32 +179,78 @@
 }
 
 const (
-	// maxRepeats is how often an instance begins to repeat its answers in a run at the
+	// maxPeriods is how often one kind of disturbance of answers begins in a run at the
 	// most.
-	maxRepeats = 4
+	maxPeriods = 4
 	// maxRepeatDelay is how late a repeated answer comes at the most.
-	maxRepeatDelay = 60 * time.Millisecond
+	maxRepeatDelay = 400 * time.Millisecond
+	// maxPiecePause is the longest pause between two pieces of an answer.
+	maxPiecePause = 40 * time.Millisecond
 )
 
-// repeatAnswers makes instances send each answer twice, the second time late, for some
-// periods of the run. Its random numbers are its own, so that the other faults of a seed
-// stay the same.
-func (s *Soak) repeatAnswers(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(s.Seed, repeatStream))
-	for range rng.IntN(maxRepeats + 1) {
-		sleep(ctx, time.Duration(rng.Int64N(int64(maxFaultPause))))
-		id := []string{"i-1", "i-2", "i-3"}[rng.IntN(instanceCount)]
-		d := minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
-		after := 1 + time.Duration(rng.Int64N(int64(maxRepeatDelay)))
-		s.logf("repeat the answers of %s after %s, for %s", id, after.Round(time.Millisecond), d.Round(time.Millisecond))
-		s.group.RepeatAnswers(id, after)
-		sleep(ctx, d)
-		s.group.RepeatAnswers(id, 0)
+// Streams of the random numbers of faults that have their own, so that the other faults
+// of a seed stay the same.
+const (
+	restoreStream = iota + 2
+	repeatStream
+	refuseStream
+	breakStream
+	splitStream
+)
+
+// disturbAnswers makes instances repeat, refuse, break off and split a share of their
+// answers, each for some periods of the run.
+func (s *Soak) disturbAnswers(ctx context.Context) {
+	var running conc.WaitGroup
+	defer running.Wait()
+	for _, kind := range []struct {
+		name   string
+		stream uint64
+		// maxShare is the largest share of the answers.
+		maxShare float64
+		set      func(id string, share float64)
+	}{
+		{
+			name:     "repeat",
+			stream:   repeatStream,
+			maxShare: 1,
+			set: func(id string, share float64) {
+				s.group.RepeatShare(id, share, maxRepeatDelay)
+			},
+		},
+		{
+			name:     "refuse",
+			stream:   refuseStream,
+			maxShare: 0.4,
+			set:      s.group.RefuseShare,
+		},
+		{
+			name:     "break off",
+			stream:   breakStream,
+			maxShare: 0.15,
+			set:      s.group.BreakShare,
+		},
+		{
+			name:     "split",
+			stream:   splitStream,
+			maxShare: 1,
+			set: func(id string, share float64) {
+				s.group.SplitShare(id, share, maxPiecePause)
+			},
+		},
+	} {
+		running.Go(func() {
+			rng := rand.New(rand.NewPCG(s.Seed, kind.stream))
+			for range rng.IntN(maxPeriods + 1) {
+				sleep(ctx, time.Duration(rng.Int64N(int64(maxFaultPause))))
+				id := []string{"i-1", "i-2", "i-3"}[rng.IntN(instanceCount)]
+				d := minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
+				share := kind.maxShare * rng.Float64()
+				s.logf("%s %.2f of the answers of %s, for %s", kind.name, share, id, d.Round(time.Millisecond))
+				kind.set(id, share)
+				sleep(ctx, d)
+				kind.set(id, 0)
+			}
+		})
 	}
 }
-
-// repeatStream is the stream of the random numbers of repeated answers.
-const repeatStream = 3
-
-// restoreStream is the stream of the random numbers of restores.
-const restoreStream = 2
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -29,6 +29,7 @@
 	mu          sync.Mutex
 	cmd         *exec.Cmd
 	endExpected bool // it was killed or asked to stop
+	ends        int  // how often that was so
 	stopped     bool // it is not started again
 	// restarting tells that the process is about to be started again.
 	restarting bool
@@ -142,7 +143,10 @@
 	if p.cmd == nil {
 		return
 	}
-	p.endExpected = p.endExpected || ends
+	if ends {
+		p.endExpected = true
+		p.ends++
+	}
 	_ = p.cmd.Process.Signal(sig) // it may have ended just now
 }
 
@@ -187,6 +191,14 @@
 	p.running.Wait()
 }
 
+// countEnds returns how often the process was killed or asked to stop, and whether it is
+// about to end.
+func (p *process) countEnds() (n int, ending bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ends, p.endExpected
+}
+
 func (p *process) failure() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -310,6 +310,8 @@
 		}
 	}
 	s.checker.checkExecutions(s.group)
+	s.checker.checkCommits(s.group)
+	s.checker.checkProgress()
 	for _, problem := range s.group.SupersededWrites() {
 		s.checker.addProblem("%s", problem)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,8 @@
 	// A suspended host ran writes that the asking host had given up, after later
 	// writes of their session.
 	"writes run late": 6030,
+	// Answers of the primary are repeated, refused and broken off.
+	"disturbed answers": 3,
 }
 
 func TestSoak(t *testing.T) {
