Keep the record of a primary that does not answer when an era opens

Writes were acknowledged at two primaries for three seconds. i-1 crashed, i-2 was promoted and then cut off, i-1 came back and still took itself for the primary, and the store was restored. The host that opened the era named i-1 in the record: checkService took the one that leads the highest term among those that answer, and did not know the term of the record's primary. It now names another one only if the record's primary answers. If that one stays silent, a failover replaces it, which prefers an instance that leads a higher term.

Evidence: the new case of TestOpen fails before and passes.

--- a/internal/services/eras/eras.go
+++ b/internal/services/eras/eras.go
@@ -223,7 +223,7 @@
 	if l.Phase != leader.Settled {
 		return // whoever takes over the change finds the promoted instance
 	}
-	found, ok := k.highestPrimary(ctx, service)
+	found, ok := k.highestPrimary(ctx, service, l.Primary)
 	if !ok || found == l.Primary {
 		return
 	}
@@ -240,21 +240,28 @@
 }
 
 // highestPrimary returns the instance that leads the highest term among those of a
-// service that answer.
-func (k *Keeper) highestPrimary(ctx context.Context, service string) (id string, ok bool) {
+// service that answer; none if the record's primary does not answer. Its term is not known
+// then, and the one that leads may be a former primary that came back. If it stays silent, a
+// failover replaces it, which finds an instance that leads a higher term.
+func (k *Keeper) highestPrimary(ctx context.Context, service, recorded string) (id string, ok bool) {
 	var (
-		mu      sync.Mutex
-		highest uint64
-		asked   conc.WaitGroup
+		mu       sync.Mutex
+		highest  uint64
+		answered bool
+		asked    conc.WaitGroup
 	)
 	for _, s := range k.Directory.Servers(service) {
 		asked.Go(func() {
 			r, outcome, err := k.Prober.Status(ctx, s)
-			if err != nil || outcome != reply.Done || !r.Primary {
+			if err != nil || outcome != reply.Done {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
+			answered = answered || s.ID == recorded
+			if !r.Primary {
+				return
+			}
 			if !ok || r.Term > highest {
 				id = s.ID
 				ok = true
@@ -263,7 +270,7 @@
 		})
 	}
 	asked.Wait()
-	return id, ok
+	return id, ok && answered
 }
 
 func errorText(err error) string {
--- a/internal/services/eras/eras_test.go
+++ b/internal/services/eras/eras_test.go
@@ -37,7 +37,10 @@
 	longTime = openTime + 4*time.Second
 )
 
-var errChanged = errors.New("an expected row has changed")
+var (
+	errChanged = errors.New("an expected row has changed")
+	errSilent  = errors.New("the instance does not answer")
+)
 
 // world is a store that was just restored, as one host sees it, with another host and
 // two instances.
@@ -55,6 +58,7 @@
 	// seen is the era that the other host has seen.
 	seen   uint64
 	terms  map[string]uint64 // of the instances that lead
+	silent string            // an instance that does not answer
 	opened time.Duration
 	// refusing tells that the store refuses records of primaries.
 	refusing bool
@@ -157,6 +161,20 @@
 		is.Equal(l.Token, leader.NextToken(0, era))
 		is.True(w.openedAt() > 0)
 	})
+	run(t, "a former primary is not named while the record's does not answer", func(is *is.I, w *world) {
+		w.put(mirror.LeaderPrefix+service, leader.Leader{
+			Token:         leader.NextToken(0, era-1) + 1,
+			Phase:         leader.Settled,
+			Primary:       "i-2",
+			FormerPrimary: "i-1",
+		})
+		w.lead("i-1", 1)
+		w.lead("i-2", 2)
+		w.silence("i-2")
+		time.Sleep(openTime)
+		l, _, _ := w.Leader(service)
+		is.Equal(l.Primary, "i-2")
+	})
 	run(t, "the first write removes the rows of former eras", func(is *is.I, w *world) {
 		time.Sleep(openTime)
 		is.Equal(len(w.EraRows()), 0)
@@ -205,6 +223,13 @@
 	w.terms[id] = term
 }
 
+// silence makes an instance answer no status query.
+func (w *world) silence(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = id
+}
+
 // lose makes this host know a record that the store lacks.
 func (w *world) lose(l leader.Leader) {
 	w.mu.Lock()
@@ -312,6 +337,9 @@
 func (w *world) Status(_ context.Context, s server.Server) (report.Report, int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if s.ID == w.silent {
+		return report.Report{}, reply.Failed, errSilent
+	}
 	return report.Report{
 		Primary: w.terms[s.ID] > 0,
 		Term:    w.terms[s.ID],
