--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,9 @@
 	"writes run late": 6030,
 	// Answers of the primary are repeated, refused and broken off.
 	"disturbed answers": 3,
+	// A former primary was named while the primary of the record did not answer, after a
+	// restore of the store. It failed with twelve hosts; the case is TestOpen of eras.
+	"former primary named": 9105,
 }
 
 func TestSoak(t *testing.T) {
