--- a/internal/services/pconn/repeat_test.go
+++ b/internal/services/pconn/repeat_test.go
@@ -48,14 +48,29 @@
 func (s *script) SetWriteDeadline(time.Time) error { return nil }
 
 var (
-	control = reply.Reply{Signature: "-", State: reply.Idle}
-	started = reply.Reply{Signature: "-", State: reply.Open}
-	busy    = reply.Reply{Outcome: reply.Busy, State: reply.Idle}
-	failed  = reply.Reply{Outcome: reply.Failed, State: reply.Idle}
+	control = reply.Reply{
+		Signature: "-",
+		State:     reply.Idle,
+	}
+	started = reply.Reply{
+		Signature: "-",
+		State:     reply.Open,
+	}
+	busy = reply.Reply{
+		Outcome: reply.Busy,
+		State:   reply.Idle,
+	}
+	failed = reply.Reply{
+		Outcome: reply.Failed,
+		State:   reply.Idle,
+	}
 )
 
 func signed(signature string) reply.Reply {
-	return reply.Reply{Signature: signature, State: reply.Idle}
+	return reply.Reply{
+		Signature: signature,
+		State:     reply.Idle,
+	}
 }
 
 // open returns a connection with these groups of answers.
@@ -64,8 +79,10 @@
 		groups: groups,
 	}
 	return &pconn.Conn{
-		Link:     s,
-		Observer: &observer{repeats: repeats},
+		Link: s,
+		Observer: &observer{
+			repeats: repeats,
+		},
 	}, s
 }
 
