Resolve a refused commit whose transaction has failed

A commit that was refused, after the refusal of an earlier statement from outside of the transaction had come again, had an unknown outcome after its timeout: the RESETs that were to resolve the error were refused by the failed transaction, so that their answers never came.

In a transaction a ROLLBACK goes before the RESETs, and the connection is closed afterwards. On instances that are known to repeat answers, up to 64 statements resolve an error instead of 8.

--- a/internal/services/pconn/resolve.go
+++ b/internal/services/pconn/resolve.go
@@ -8,8 +8,12 @@
 	"wasabislip.example/wasabislip/internal/modules/uptime"
 )
 
-// maxMarkers bounds the statements that are sent to resolve one error.
-const maxMarkers = 8
+// Bounds of the statements that are sent to resolve one error: they hold up the answer. On
+// an instance that is known to repeat answers, the outcome is unknown without them.
+const (
+	maxMarkers          = 8
+	maxMarkersRepeating = 64
+)
 
 // resolve finds out whether an error answers the statement that waits, or is the
 // repetition of an earlier one.
@@ -25,12 +29,12 @@
 		return r, nil
 	}
 	markers := 1 + c.countUnsigned()
-	if markers > maxMarkers {
+	switch {
+	case repeats && markers > maxMarkersRepeating:
+		return reply.Reply{}, errAmbiguous
+	case !repeats && markers > maxMarkers:
 		c.unusable = true
 		markers = 1
-		if repeats {
-			return reply.Reply{}, errAmbiguous
-		}
 	}
 	return c.resolveWithMarkers(markers, r, deadline)
 }
@@ -51,13 +55,14 @@
 // resolveWithMarkers sends statements that take no slot of the instance, the markers, and
 // reads as many answers to them. It returns the last answer before these: the one to the
 // statement that waits. All of the answers to markers but one may be repetitions of earlier
-// ones; the others come later then. The first marker rolls an open transaction back.
+// ones; the others come later then. In a transaction a rollback goes before the markers, since
+// a failed one refuses them.
 //
 // For instance, a write waits, an error comes that came before, and there was one unsigned
 // answer of late. Two resets are sent. The answers are the repeated unsigned one, that to
 // the write, and one to a reset: the write's is the last that is not to a marker.
 func (c *Conn) resolveWithMarkers(markers int, r reply.Reply, deadline time.Time) (reply.Reply, error) {
-	rollsBack := c.inTransaction && (!c.awaited.commit || r.State != reply.Idle)
+	rollsBack := c.inTransaction
 	c.sendMarkers(markers, rollsBack)
 	if err := c.Flush(deadline); err != nil {
 		return reply.Reply{}, err
@@ -72,6 +77,9 @@
 			markers--
 			continue
 		}
+		if rollsBack && a.Outcome == reply.Malformed {
+			continue // the answer to the rollback, outside of a transaction
+		}
 		verdict, reason := c.history.Match(c.awaited.kind, c.awaited.id, &a, uptime.Now())
 		if verdict == pairs.Repeated {
 			c.recordMismatch(c.awaited.id, reason, &a)
@@ -91,9 +99,7 @@
 func (c *Conn) sendMarkers(n int, rollsBack bool) {
 	others := c.ownPending
 	if rollsBack {
-		c.MarkRolledBack()
 		c.Rollback()
-		n--
 	}
 	for range n {
 		c.reset()
@@ -115,11 +121,10 @@
 }
 
 // endByRollback returns the answer to the statement that waited, after its transaction was
-// rolled back. What ran in it counts as refused, but for a commit.
+// rolled back. What ran in it counts as refused, but for a commit. The connection is closed:
+// whether the rollback has had its answer is not known.
 func (c *Conn) endByRollback(r reply.Reply) reply.Reply {
-	if r.Outcome == reply.Done {
-		c.unusable = true // not all markers are answered
-	}
+	c.unusable = true
 	if c.awaited.commit {
 		r.State = reply.Idle
 		return r
@@ -156,7 +161,7 @@
 		return
 	}
 	c.unsignedAt = append(c.unsignedAt, uptime.Now())
-	if len(c.unsignedAt) > maxMarkers {
+	if len(c.unsignedAt) > maxMarkersRepeating {
 		c.unsignedAt = c.unsignedAt[1:]
 	}
 }
