Probe instances in the name of a workspace that they can be told

A configuration with a workspace whose name holds a blank or CR LF made hosts take instances for dead now and then: the prober named any workspace of the configuration, and a session start with such a name is refused before it is sent. Callers were told primary-unreachable. It passes over such names now.

--- a/internal/services/probe/probe.go
+++ b/internal/services/probe/probe.go
@@ -17,6 +17,7 @@
 	"wasabislip.example/wasabislip/internal/models/report"
 	"wasabislip.example/wasabislip/internal/models/server"
 	"wasabislip.example/wasabislip/internal/services/link"
+	"wasabislip.example/wasabislip/pkg/model/fault"
 )
 
 const (
@@ -28,6 +29,8 @@
 	// repeatMemory is how long after an instance was seen to repeat an answer each of its
 	// connections is used for one request only.
 	repeatMemory = time.Minute
+	// anonymousWorkspace is what instances are told without a workspace.
+	anonymousWorkspace = "-"
 )
 
 // modes of a request: what has to be known of its answer. Answers name no request, and an
@@ -64,6 +67,8 @@
 
 	mu    sync.Mutex
 	conns map[string]*conn
+	// unwritable are names of workspaces that instances can't be told.
+	unwritable map[string]struct{}
 }
 
 // conn is the connection to one instance. One call at a time uses it.
@@ -84,6 +89,8 @@
 		dialer:   d,
 		policies: p,
 		conns:    map[string]*conn{},
+
+		unwritable: map[string]struct{}{},
 	}
 }
 
@@ -183,28 +190,44 @@
 		return reply.Done, nil
 	}
 	c.close()
-	p.dials.Add(1)
-	l, err := p.dialer.Dial(ctx, s.Address)
-	if err != nil {
-		return 0, err
-	}
-	deadline, _ := ctx.Deadline()
-	_ = l.SetReadDeadline(deadline) // an error shows at the next read
-	_ = l.SetWriteDeadline(deadline)
-	r, err := l.StartSession(s.Service, p.workspace(), s.ID)
+	l, r, err := p.startSession(ctx, s)
 	if err == nil && r.Outcome == reply.Done {
 		c.link = l
 		c.reports = pairs.Reports{}
 		return reply.Done, nil
 	}
-	_ = l.Close()
-	p.refused.Add(1)
+	if l != nil {
+		_ = l.Close()
+		p.refused.Add(1)
+	}
 	if err == nil && r.Outcome != reply.TooManyConnections {
 		err = fmt.Errorf("instance %s refused the session: %s", s.ID, r.Message)
 	}
 	return r.Outcome, err
 }
 
+// startSession dials an instance and starts a session there. It passes over workspaces that
+// instances can't be told.
+func (p *Prober) startSession(ctx context.Context, s server.Server) (link.Link, reply.Reply, error) {
+	for {
+		p.dials.Add(1)
+		l, err := p.dialer.Dial(ctx, s.Address)
+		if err != nil {
+			return nil, reply.Reply{}, err
+		}
+		deadline, _ := ctx.Deadline()
+		_ = l.SetReadDeadline(deadline) // an error shows at the next read
+		_ = l.SetWriteDeadline(deadline)
+		workspace := p.workspace()
+		r, err := l.StartSession(s.Service, workspace, s.ID)
+		if !fault.IsRefusal(err) || workspace == anonymousWorkspace {
+			return l, r, err
+		}
+		_ = l.Close() // nothing was sent
+		p.passOver(workspace)
+	}
+}
+
 // CloseIdle closes the connections that were not used within idleTimeout.
 func (p *Prober) CloseIdle() {
 	p.mu.Lock()
@@ -225,15 +248,26 @@
 	}
 }
 
-// workspace returns the name of any workspace: an instance requires one, although
-// its status is not specific to a workspace.
+// workspace returns the name of any workspace that instances can be told: an instance
+// requires one, although its status is not specific to a workspace.
 func (p *Prober) workspace() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if cfg := p.policies.Policy(); cfg != nil {
 		for name := range cfg.Workspaces {
-			return name
+			if _, ok := p.unwritable[name]; !ok {
+				return name
+			}
 		}
 	}
-	return "-"
+	return anonymousWorkspace
+}
+
+// passOver records that instances can't be told the name of a workspace.
+func (p *Prober) passOver(workspace string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unwritable[workspace] = struct{}{}
 }
 
 // noteUnread notes that the instance repeats answers if one has arrived that nobody asked
