Poll no primary before the host is registered

Cause, traced by a line for each answer that can't count: a host that is not registered has no lease, so that RecordPosition drops what a primary tells, and its pollers ask again at each check. At 60 hosts the first copy of the table is at times from 0.1 s after the start, before the registrations, and the next one comes 1.2 s later. Until then hosts know few others and rank themselves among the pollers more often, which opens connections that are not needed later.

A host waits for its registration now before it polls, 2 s at the most: then it looks for primaries that fail.

The two new subtests of TestPolls fail without the change.

--- a/internal/routers/edge/edge.go
+++ b/internal/routers/edge/edge.go
@@ -322,7 +322,7 @@
 	wg.Go(func() { guard.Keep(background, "pools", h.pools.Run) })
 	wg.Go(func() { guard.Keep(background, "shares", h.updateShares) })
 	wg.Go(func() {
-		guard.Keep(background, "poller", poller.New(h.mirror, h.views, h.gossip, prober).Run)
+		guard.Keep(background, "poller", poller.New(h.mirror, h.views, h.gossip, h.registrar, prober).Run)
 	})
 	wg.Go(func() { guard.Keep(background, "failover", h.newFailover(prober).Run) })
 	wg.Go(func() { guard.Keep(background, "eras", h.newKeeper(prober).Run) })
--- a/internal/services/poller/poller.go
+++ b/internal/services/poller/poller.go
@@ -57,6 +57,9 @@
 	// whether they still follow the primary. A table whose records of primaries
 	// are not complete, since the store was restored, does not count.
 	maxTableAge = 1200 * time.Millisecond
+	// maxRegistrationWait is how long after the start nothing is polled while this host is
+	// not registered. After that it looks for primaries that fail.
+	maxRegistrationWait = 2 * time.Second
 )
 
 // directory lists the services and their instances.
@@ -83,15 +86,24 @@
 	PushNow()
 }
 
+// registry knows since when this host is registered in the platform's store.
+type registry interface {
+	Registered() (since, until time.Duration, ok bool)
+}
+
 // Poller polls primaries, with up to one goroutine for each of maxRunning services.
 type Poller struct {
 	directory directory
 	views     views
 	hosts     fleet
+	registry  registry
 	prober    *probe.Prober
 	services  map[string]*serviceState
 	// running holds an element for each poll under way.
 	running chan struct{}
+	// started is when Run began. registered is set once this host has been registered.
+	started    time.Duration
+	registered bool
 }
 
 // serviceState is what is kept of one service between two checks.
@@ -111,11 +123,12 @@
 }
 
 // New returns a poller.
-func New(d directory, v views, h fleet, p *probe.Prober) *Poller {
+func New(d directory, v views, h fleet, r registry, p *probe.Prober) *Poller {
 	return &Poller{
 		directory: d,
 		views:     v,
 		hosts:     h,
+		registry:  r,
 		prober:    p,
 		services:  map[string]*serviceState{},
 		running:   make(chan struct{}, maxRunning),
@@ -126,6 +139,7 @@
 func (p *Poller) Run(ctx context.Context) {
 	var parts conc.WaitGroup
 	defer parts.Wait()
+	p.started = uptime.Now()
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
 	for {
@@ -149,6 +163,9 @@
 		// all primaries.
 		return
 	}
+	if p.awaitsRegistration() {
+		return
+	}
 	now := uptime.Now()
 	ranking := p.hosts.RankingVersion()
 	list := p.directory.Services()
@@ -195,6 +212,16 @@
 	}
 }
 
+// awaitsRegistration reports whether this host has just started and is not registered yet.
+// It has no lease then, so that no position counts that a primary tells, and all pollers
+// would go on asking at each check.
+func (p *Poller) awaitsRegistration() bool {
+	if !p.registered {
+		_, _, p.registered = p.registry.Registered()
+	}
+	return !p.registered && uptime.Now()-p.started < maxRegistrationWait
+}
+
 // round is what a poll of a service is for.
 type round struct {
 	position bool
--- a/internal/services/poller/poller_test.go
+++ b/internal/services/poller/poller_test.go
@@ -51,6 +51,8 @@
 	dials     int
 	questions int
 	unknown   bool
+	// unregistered says that the host is not registered in the store.
+	unregistered bool
 	// rank is the host's place among the pollers.
 	rank int
 	// repeats are the instances that send each answer twice, the second time while the
@@ -86,7 +88,7 @@
 			}
 			w.view = dbview.New(service, "a", "wasabislip", w, w)
 			time.Sleep(outage)
-			p := poller.New(w, w, w, probe.New(w, w))
+			p := poller.New(w, w, w, w, probe.New(w, w))
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan struct{})
 			go func() {
@@ -227,6 +229,31 @@
 		time.Sleep(renewals)
 		is.Equal(w.countDials(), before)
 	})
+	run(t, "nothing is polled after the start until the host has been registered once", func(is *is.I, w *world) {
+		w.register(false)
+		time.Sleep(time.Second)
+		is.Equal(w.countDials(), 0)
+		w.register(true)
+		time.Sleep(200 * time.Millisecond)
+		is.True(w.countDials() > 0)
+		w.register(false)
+		before := w.countDials()
+		time.Sleep(renewals)
+		is.True(w.countDials() > before)
+	})
+	run(t, "primaries are polled 2 s after the start if the host can't be registered", func(is *is.I, w *world) {
+		w.register(false)
+		time.Sleep(1900 * time.Millisecond)
+		is.Equal(w.countDials(), 0)
+		time.Sleep(300 * time.Millisecond)
+		is.True(w.countDials() > 0)
+	})
+}
+
+func (w *world) register(registered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unregistered = !registered
 }
 
 func (w *world) countQuestions() int {
@@ -364,5 +391,7 @@
 func (w *world) View(string) *dbview.View { return w.view }
 
 func (w *world) Registered() (since, until time.Duration, ok bool) {
-	return 0, math.MaxInt64, true
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return 0, math.MaxInt64, !w.unregistered
 }
