Confirm the start of a transaction after another start on its connection

What callers got: until a host had seen an instance repeat an answer, the answer to the start of a transaction could come again while the next start on that connection waited. If that start was refused, the first statement of its transaction ran outside of it, and a write was kept; the caller was told an unknown outcome.

Two repeated answers within the time of one statement, both before any was noticed, still pass for the two answers. Names of prepared statements come from a counter, and a connection with more than 200 is not reset in a transaction any more.

Two scripts of other tests have an answer to the new statement, with the same checks. The stand-in simcon answered the proxy's own statements in a transaction as if none were open.

--- a/internal/services/pconn/pconn.go
+++ b/internal/services/pconn/pconn.go
@@ -9,6 +9,7 @@
 	"wasabislip.example/wasabislip/internal/models/pairs"
 	"wasabislip.example/wasabislip/internal/models/query"
 	"wasabislip.example/wasabislip/internal/models/reply"
+	"wasabislip.example/wasabislip/internal/modules/uptime"
 	"wasabislip.example/wasabislip/internal/services/link"
 	"wasabislip.example/wasabislip/pkg/model/logpos"
 )
@@ -19,6 +20,8 @@
 	// maxPrepared bounds the prepared statements of one connection; a connection
 	// with more of them is reset before its next use.
 	maxPrepared = 200
+	// confirmation is prepared after the start of a transaction, and never executed.
+	confirmation = "READ transaction-open"
 )
 
 // observer is told of answers that an instance repeats.
@@ -46,8 +49,10 @@
 	// Observer is told of answers that the instance repeats; it may be nil.
 	Observer observer
 
-	settings   map[string]string
-	prepared   map[string]string
+	settings map[string]string
+	prepared map[string]string
+	// names is how many names of prepared statements are in use.
+	names      int
 	ownPending int
 	// changedInTransaction is set if settings were set or statements prepared
 	// since the transaction began. settingsUnknown is set once a rollback may
@@ -62,8 +67,10 @@
 	inTransaction bool
 	// unsignedAt are the times, by package uptime, of the last unsigned answers.
 	unsignedAt []time.Duration
-	// unsignedUntil is until when an answer without a signature may come again.
+	// unsignedUntil is until when an answer without a signature may come again, and
+	// startedUntil until when one that a transaction is open.
 	unsignedUntil time.Duration
+	startedUntil  time.Duration
 	// unusable is set once answers may be missing or may come that belong to no statement.
 	unusable bool
 }
@@ -102,7 +109,7 @@
 // session settings. It resets the connection first where that is needed, but
 // never inside a transaction: there a session's settings only grow or change.
 func (c *Conn) ApplySettings(settings map[string]string) {
-	if c.settingsUnknown || c.hasOtherSettings(settings) || len(c.prepared) > maxPrepared {
+	if c.settingsUnknown || c.hasOtherSettings(settings) || c.names > maxPrepared && !c.inTransaction {
 		c.reset()
 	}
 	for name, v := range settings {
@@ -128,6 +135,7 @@
 	})
 	clear(c.settings)
 	clear(c.prepared)
+	c.names = 0
 	c.settingsUnknown = false
 }
 
@@ -151,7 +159,7 @@
 	if c.prepared == nil {
 		c.prepared = map[string]string{}
 	}
-	name := "w" + strconv.Itoa(len(c.prepared)+1)
+	name := c.newName()
 	c.sendOwn(query.Query{
 		Kind:  query.Prepare,
 		Name:  name,
@@ -161,6 +169,12 @@
 	return name
 }
 
+// newName returns a name of a prepared statement that is not in use.
+func (c *Conn) newName() string {
+	c.names++
+	return "w" + strconv.Itoa(c.names)
+}
+
 // MarkRolledBack records that a transaction was rolled back. The instance may
 // have undone the settings made in it, so that the connection is reset before
 // its next use.
@@ -181,18 +195,28 @@
 }
 
 // Begin queues the start of a transaction. The instance waits until its log has
-// reached minPosition.
+// reached minPosition. If the answer to an earlier start may come again, a statement follows
+// whose answer tells whether the transaction is open.
 func (c *Conn) Begin(readOnly bool, minPosition logpos.Position) {
 	c.changedInTransaction = false
 	c.awaited = awaited{
-		kind: pairs.Begin,
-		id:   ownID,
+		kind:      pairs.Begin,
+		id:        ownID,
+		confirmed: uptime.Now() < c.startedUntil,
 	}
 	c.Link.Send(&query.Query{
 		ID:       ownID,
 		Kind:     query.Begin,
 		ReadOnly: readOnly,
 	}, minPosition)
+	if c.awaited.confirmed {
+		c.Link.Send(&query.Query{
+			ID:    ownID,
+			Kind:  query.Prepare,
+			Name:  c.newName(),
+			Value: confirmation,
+		}, logpos.Position{})
+	}
 }
 
 // Rollback queues the rollback of a transaction without waiting for its answer.
--- a/internal/services/pconn/pconn_test.go
+++ b/internal/services/pconn/pconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -29,10 +30,17 @@
 	// statements that are refused, in percent.
 	repeats int
 	refuses int
-	count   int
-	state   int
-	queued  []*query.Query
-	sent    []reply.Reply
+	// single is the number of the only answer that is repeated, known to the observer or not;
+	// below 0 there is none.
+	single int
+	count  int
+	state  int
+	queued []*query.Query
+	// inTransaction says that the caller's next statement belongs to a transaction. outside
+	// counts those that ran outside of it.
+	inTransaction bool
+	outside       int
+	sent          []reply.Reply
 	// late are repetitions that are still to come, by the number of answers before them.
 	late map[int][]reply.Reply
 	// signatures are the signatures of the statements that succeeded, by their ids.
@@ -48,7 +56,7 @@
 	for _, q := range i.queued {
 		r := i.run(q)
 		i.observer.advance()
-		if i.observer.repeats && rapid.IntRange(0, 99).Draw(i.t, "repeated") < i.repeats {
+		if i.count == i.single || i.observer.repeats && rapid.IntRange(0, 99).Draw(i.t, "repeated") < i.repeats {
 			at := i.count + rapid.IntRange(0, 3).Draw(i.t, "late")
 			i.late[at] = append(i.late[at], r)
 		}
@@ -88,6 +96,9 @@
 			State:     i.state,
 		}
 	}
+	if i.inTransaction && q.Kind != query.Commit && i.state == reply.Idle {
+		i.outside++
+	}
 	i.signatures[q.ID] = fmt.Sprintf("signature-%d", len(i.signatures))
 	return reply.Reply{
 		Signature: i.signatures[q.ID],
@@ -138,6 +149,7 @@
 	ids      int
 	repeats  int
 	refuses  int
+	single   int
 }
 
 // connect opens a connection if the last one must not be used again.
@@ -151,6 +163,7 @@
 		observer:   p.observer,
 		repeats:    p.repeats,
 		refuses:    p.refuses,
+		single:     p.single,
 		late:       map[int][]reply.Reply{},
 		signatures: map[string]string{},
 	}
@@ -168,10 +181,10 @@
 	if err != nil {
 		p.conn = nil // the runner closes it
 	}
-	if p.repeats == 0 && !p.observer.repeats && err != nil {
+	if p.repeats == 0 && p.single < 0 && !p.observer.repeats && err != nil {
 		p.t.Fatalf("an answer was not accepted, although none was repeated: %v", err)
 	}
-	if p.repeats == 0 && p.observer.mismatches > 0 {
+	if p.repeats == 0 && p.single < 0 && p.observer.mismatches > 0 {
 		p.t.Fatal("an answer was passed over, although none was repeated")
 	}
 	return r, err
@@ -183,6 +196,7 @@
 	p.ids++
 	id := fmt.Sprintf("id-%d", p.ids)
 	conn, instance := p.conn, p.instance
+	instance.inTransaction = inTransaction
 	conn.Send(&query.Query{
 		ID:   id,
 		Kind: kind,
@@ -247,6 +261,7 @@
 			},
 			repeats: rapid.SampledFrom([]int{0, 3, 30, 100}).Draw(t, "repeats"),
 			refuses: rapid.SampledFrom([]int{0, 3, 30}).Draw(t, "refuses"),
+			single:  -1,
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "operations") {
 			p.connect()
@@ -259,3 +274,26 @@
 		}
 	})
 }
+
+// Guards against statements that run outside of their transaction: its start was refused, and
+// the answer to an earlier start came again before the instance was known to repeat answers.
+func TestStartAfterRepeatedStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &player{
+			t: t,
+			observer: &observer{
+				statements: math.MaxInt,
+			},
+			refuses: 40,
+			single:  rapid.IntRange(0, 8).Draw(t, "the answer that is repeated"),
+		}
+		for range 10 {
+			p.connect()
+			instance := p.instance
+			p.transaction()
+			if instance.outside > 0 {
+				t.Fatal("a statement ran outside of its transaction")
+			}
+		}
+	})
+}
--- a/internal/services/pconn/receive.go
+++ b/internal/services/pconn/receive.go
@@ -22,6 +22,9 @@
 	// commit is set for the commit of a transaction, read for a read.
 	commit bool
 	read   bool
+	// confirmed is set for the start of a transaction that a statement follows, whose
+	// answer tells whether the transaction is open.
+	confirmed bool
 }
 
 // Receive reads the answer to the oldest statement that the caller waits for. It
@@ -35,6 +38,9 @@
 		return reply.Reply{}, err
 	}
 	r, verdict, err := c.receive(c.awaited)
+	if err == nil && c.awaited.confirmed {
+		r, err = c.confirmStart(r)
+	}
 	if err != nil {
 		return reply.Reply{}, err
 	}
@@ -54,6 +60,24 @@
 	return r, nil
 }
 
+// confirmStart reads the answer to the statement that follows the start of a transaction, if r
+// says that the start succeeded. An error in its place answers the start, and r is that to an
+// earlier one again. After a refusal of the start the answer is that to a statement of the
+// proxy itself.
+func (c *Conn) confirmStart(r reply.Reply) (reply.Reply, error) {
+	if r.Outcome != reply.Done {
+		c.ownPending++
+		return r, nil
+	}
+	a, _, err := c.receive(c.awaited)
+	if err != nil || a.Outcome == reply.Done {
+		return r, err
+	}
+	c.unusable = true
+	c.recordMismatch(c.awaited.id, "outside-transaction", &r)
+	return a, nil
+}
+
 // noteAnswer records what an answer to the statement that waited says of the connection.
 func (c *Conn) noteAnswer(r *reply.Reply) {
 	c.noteUnsigned(r)
--- a/internal/services/pconn/repeat_test.go
+++ b/internal/services/pconn/repeat_test.go
@@ -181,6 +181,26 @@
 	is.True(err == nil && r.Outcome == reply.InDoubt) // sess tells an error as ABORTED
 }
 
+// Guards against statements that run outside of their transaction: its start was refused, and
+// the answer to an earlier start came again.
+func TestRefusedStartAfterRepeatedStart(t *testing.T) {
+	is := is.New(t)
+	c, _ := open(false,
+		[]reply.Reply{started},                // BEGIN
+		[]reply.Reply{signed("sig-1")},        // COMMIT
+		[]reply.Reply{started, busy, control}, // the answer to BEGIN again, BEGIN, its confirmation
+	)
+	_, err := begin(c)
+	is.NoErr(err)
+	_, err = play(c, query.Commit, "one", nil)
+	is.NoErr(err)
+	r, err := begin(c)
+	is.NoErr(err)
+	is.Equal(r.Outcome, reply.Busy)
+	is.True(!c.InTransaction())
+	is.True(!c.IsUsable()) // the answer to the confirmation is still to come
+}
+
 // Guards against a transaction that counts as started although the marker of its start shows
 // that none is open.
 func TestMarkerOutsideOfTransaction(t *testing.T) {
@@ -188,8 +208,8 @@
 	c, _ := open(false,
 		[]reply.Reply{started},          // BEGIN
 		[]reply.Reply{signed("sig-1")},  // COMMIT
-		[]reply.Reply{busy},             // BEGIN, refused
-		[]reply.Reply{busy},             // BEGIN, refused
+		[]reply.Reply{busy, control},    // BEGIN, refused, and its confirmation
+		[]reply.Reply{busy, control},    // BEGIN, refused, and its confirmation
 		[]reply.Reply{started, control}, // the answer to the first BEGIN again, the marker
 	)
 	start := func() (reply.Reply, error) {
--- a/internal/services/pconn/resolve.go
+++ b/internal/services/pconn/resolve.go
@@ -160,6 +160,9 @@
 	if r.Outcome != reply.Done {
 		return
 	}
+	if r.State == reply.Open {
+		c.startedUntil = c.unsignedUntil
+	}
 	c.unsignedAt = append(c.unsignedAt, uptime.Now())
 	if len(c.unsignedAt) > maxMarkersRepeating {
 		c.unsignedAt = c.unsignedAt[1:]
--- a/internal/services/pconn/resolve_test.go
+++ b/internal/services/pconn/resolve_test.go
@@ -72,8 +72,8 @@
 		c, s := open(false,
 			[]reply.Reply{started},
 			[]reply.Reply{failedBusy},
-			nil, // the rollback
-			[]reply.Reply{control, started},
+			nil,                                      // the rollback
+			[]reply.Reply{control, started, started}, // the last answer confirms the start
 			[]reply.Reply{failedBusy, signed("sig-2")},
 			nil,
 		)
@@ -89,7 +89,7 @@
 		is.NoErr(err)
 		is.Equal(r, signed("sig-2"))
 		is.True(!c.IsUsable()) // the markers are not answered yet
-		is.Equal(s.kinds[5], query.Rollback)
+		is.Equal(s.kinds[6], query.Rollback)
 	})
 	t.Run("an unsigned answer from a transaction is not that to a marker", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/standin/simcon/simcon.go
+++ b/internal/standin/simcon/simcon.go
@@ -32,6 +32,8 @@
 	// unanswered are the statements that were sent and not answered.
 	unanswered []query.Query
 	signed     int
+	// inTransaction is set between the answers to the start and to the end of a transaction.
+	inTransaction bool
 
 	unread     atomic.Bool
 	peerClosed atomic.Bool
@@ -86,8 +88,11 @@
 	}
 	q := c.unanswered[0]
 	c.unanswered = c.unanswered[1:]
+	if q.Kind == query.Begin || q.Kind == query.Commit || q.Kind == query.Rollback {
+		c.inTransaction = q.Kind == query.Begin && c.Outcome == reply.Done
+	}
 	switch {
-	case q.ID == ownID && q.Kind != query.Begin:
+	case q.ID == ownID && q.Kind != query.Begin && !c.inTransaction:
 		return reply.Reply{
 			Signature: ownID,
 		}, nil
