--- a/internal/models/pairs/reports.go
+++ b/internal/models/dedup/dedup.go
@@ -1,4 +1,5 @@
-package pairs
+// Package dedup tells status reports of instances that may be repetitions of earlier ones.
+package dedup
 
 import "wasabislip.example/wasabislip/internal/models/report"
 
--- a/internal/models/pairs/reports_test.go
+++ b/internal/models/dedup/dedup_test.go
@@ -1,4 +1,4 @@
-package pairs_test
+package dedup_test
 
 import (
 	"math/rand/v2"
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"wasabislip.example/wasabislip/internal/models/pairs"
+	"wasabislip.example/wasabislip/internal/models/dedup"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/report"
 )
@@ -18,14 +18,14 @@
 	}
 	t.Run("the first answer, and one unlike it", func(t *testing.T) {
 		is := is.New(t)
-		h := pairs.Reports{}
+		h := dedup.Reports{}
 		is.True(h.Add(report.Report{}, reply.Done))
 		is.True(h.Add(paused, reply.Done))
 		is.True(!h.Doubtful())
 	})
 	t.Run("one like an earlier one, and any after it", func(t *testing.T) {
 		is := is.New(t)
-		h := pairs.Reports{}
+		h := dedup.Reports{}
 		is.True(h.Add(report.Report{}, reply.Done))
 		is.True(!h.Add(report.Report{}, reply.Done))
 		is.True(h.Doubtful())
@@ -33,14 +33,14 @@
 	})
 	t.Run("refusals are told apart from reports, and not from each other", func(t *testing.T) {
 		is := is.New(t)
-		h := pairs.Reports{}
+		h := dedup.Reports{}
 		is.True(h.Add(report.Report{}, reply.Done))
 		is.True(h.Add(report.Report{}, reply.Busy))
 		is.True(!h.Add(report.Report{}, reply.Busy))
 	})
 	t.Run("a connection with more answers than are remembered", func(t *testing.T) {
 		is := is.New(t)
-		h := pairs.Reports{}
+		h := dedup.Reports{}
 		for term := range uint64(1000) {
 			h.Add(report.Report{
 				Term: term,
@@ -63,7 +63,7 @@
 // returns how many answers counted as own. Each has to be.
 func playReports(is *is.I, random *rand.Rand) int {
 	is.Helper()
-	h := pairs.Reports{}
+	h := dedup.Reports{}
 	type sent struct {
 		request int
 		report  report.Report
--- a/internal/services/conns/conns.go
+++ b/internal/services/conns/conns.go
@@ -110,14 +110,6 @@
 	load *loadMeter
 }
 
-// waiter is a statement that waits for a connection.
-type waiter struct {
-	workspace string
-	priority  int
-	// grant receives a connection, or nil for the right to open one.
-	grant chan *pconn.Conn
-}
-
 // New returns a pool without connections.
 func New(s server.Server, d dialer) *Pool {
 	return &Pool{
@@ -214,21 +206,6 @@
 	return nil, false, w, err
 }
 
-// enqueue returns a place in the queue of those who wait.
-func (p *Pool) enqueue(workspace string, priority int, wait time.Duration) (*waiter, error) {
-	if wait <= 0 {
-		p.refused++
-		return nil, noFreeConnection(p.server.ID)
-	}
-	w := &waiter{
-		workspace: workspace,
-		priority:  priority,
-		grant:     make(chan *pconn.Conn, 1),
-	}
-	p.waiting = append(p.waiting, w)
-	return w, nil
-}
-
 // SetWarmupRate bounds the statements a second that this host sends to the
 // instance while its caches are cold after its start; 0 sets no bound.
 func (p *Pool) SetWarmupRate(perSecond float64) {
@@ -360,29 +337,6 @@
 	_ = c.Link.Close()
 }
 
-// await waits up to wait until w is granted a connection, or the right to open
-// one.
-func (p *Pool) await(ctx context.Context, w *waiter, wait time.Duration) (*pconn.Conn, error) {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case c := <-w.grant:
-		return c, nil
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i, other := range p.waiting {
-		if other == w {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			p.refused++
-			return nil, noFreeConnection(p.server.ID)
-		}
-	}
-	return <-w.grant, nil // granted since the wait ended
-}
-
 // Put gives back a connection that can be used again.
 func (p *Pool) Put(c *pconn.Conn) {
 	p.mu.Lock()
@@ -439,16 +393,6 @@
 	}
 }
 
-// grantWaiting grants free connections to those who wait: by priority, and
-// within one priority to the workspace that uses the fewest. The caller holds mu.
-func (p *Pool) grantWaiting() {
-	for len(p.waiting) > 0 && p.hasRoom() && p.canConnect() {
-		w := p.popWaiter()
-		w.grant <- p.take(w.workspace, nil)
-	}
-	p.grantAdmitted()
-}
-
 // canConnect reports whether a statement can get a connection.
 func (p *Pool) canConnect() bool {
 	return p.open < p.limit() || len(p.idle) > 0
@@ -468,20 +412,6 @@
 	return nil
 }
 
-// popWaiter removes and returns the waiter that goes first; see grantWaiting.
-func (p *Pool) popWaiter() *waiter {
-	best := 0
-	for i, w := range p.waiting {
-		b := p.waiting[best]
-		if w.priority < b.priority || w.priority == b.priority && p.inUse[w.workspace] < p.inUse[b.workspace] {
-			best = i
-		}
-	}
-	w := p.waiting[best]
-	p.waiting = append(p.waiting[:best], p.waiting[best+1:]...)
-	return w
-}
-
 // CloseIdle closes connections that have been idle for too long.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
--- a/internal/services/probe/probe.go
+++ b/internal/services/probe/probe.go
@@ -11,7 +11,7 @@
 
 	"k8s.io/klog/v2"
 
-	"wasabislip.example/wasabislip/internal/models/pairs"
+	"wasabislip.example/wasabislip/internal/models/dedup"
 	"wasabislip.example/wasabislip/internal/models/policy"
 	"wasabislip.example/wasabislip/internal/models/reply"
 	"wasabislip.example/wasabislip/internal/models/report"
@@ -78,7 +78,7 @@
 	link  link.Link
 	used  time.Time
 	// reports are the answers on the link so far.
-	reports pairs.Reports
+	reports dedup.Reports
 	// repeatsUntil is until when the instance counts as one that repeats answers.
 	repeatsUntil time.Time
 }
@@ -193,7 +193,7 @@
 	l, r, err := p.startSession(ctx, s)
 	if err == nil && r.Outcome == reply.Done {
 		c.link = l
-		c.reports = pairs.Reports{}
+		c.reports = dedup.Reports{}
 		return reply.Done, nil
 	}
 	if l != nil {
