--- a/internal/services/pconn/repeat_test.go
+++ b/internal/services/pconn/repeat_test.go
@@ -43,6 +43,8 @@
 	return r, nil
 }
 
+func (s *script) IsOpen() bool { return len(s.sent) == 0 }
+
 func (s *script) SetReadDeadline(time.Time) error { return nil }
 
 func (s *script) SetWriteDeadline(time.Time) error { return nil }
