Count how late an answer may come again from when it may have arrived

One repeated answer was enough.

Cause: that a repetition comes within 5 s was counted from when an answer is read. One that arrives in time may lie unread for longer: in a transaction whose caller pauses, or on an idle connection that still gets an answer to a statement of the proxy, which is not checked for unread bytes.

All these times count now from the last moment at which nothing lay unread: the end of the last wait for an answer, or the check of an idle connection.

From the same review: - a success from outside of its transaction is an unknown outcome also where an error is resolved; it was told as ABORTED. - a start whose markers are all answered from outside of a transaction ends at once with an unknown outcome; it waited until the deadline. - answers to confirmations count among the unsigned ones, of which twice as many are allowed for, as a transaction has two. - a confirmation that is refused in the failed transaction does not count as a repeated answer any more. - connections of the emulator count as closed with unread bytes, as real ones do; without that its tests of idle connections differed.

--- a/internal/models/pairs/pairs.go
+++ b/internal/models/pairs/pairs.go
@@ -63,10 +63,11 @@
 
 // Match decides whether r answers the statement that waits, of this kind and with this
 // id, and says why if it does not surely. It remembers the answers that may do so. now is
-// the time by package uptime.
-func (h *History) Match(kind int, id string, r *reply.Reply, now time.Duration) (verdict int, reason string) {
+// the time by package uptime; the answer arrived after earliest, and may have lain unread
+// since.
+func (h *History) Match(kind int, id string, r *reply.Reply, earliest, now time.Duration) (verdict int, reason string) {
 	if r.Outcome != reply.Done {
-		return h.matchError(r.Outcome, now)
+		return h.matchError(r.Outcome, earliest, now)
 	}
 	switch {
 	case r.Signature == "":
@@ -85,13 +86,13 @@
 }
 
 // matchError matches an error, which has no signature.
-func (h *History) matchError(outcome int, now time.Duration) (verdict int, reason string) {
+func (h *History) matchError(outcome int, earliest, now time.Duration) (verdict int, reason string) {
 	last, ok := h.errors[outcome]
 	if h.errors == nil {
 		h.errors = map[int]time.Duration{}
 	}
 	h.errors[outcome] = now
-	if ok && now-last < MaxDelay {
+	if ok && earliest-last < MaxDelay {
 		return Ambiguous, "repeated-error"
 	}
 	return Own, ""
--- a/internal/models/pairs/pairs_test.go
+++ b/internal/models/pairs/pairs_test.go
@@ -76,7 +76,7 @@
 			is := is.New(t)
 			var h pairs.History
 			for _, s := range steps {
-				verdict, reason := h.Match(s.kind, s.id, &s.answer, time.Second)
+				verdict, reason := h.Match(s.kind, s.id, &s.answer, time.Second, time.Second)
 				is.Equal(verdict, s.verdict)
 				is.Equal(reason == "", verdict == pairs.Own)
 			}
@@ -87,10 +87,10 @@
 		var h pairs.History
 		for n := range 3000 {
 			r := signed(fmt.Sprint(n))
-			verdict, _ := h.Match(pairs.Signed, fmt.Sprint(n), &r, 0)
+			verdict, _ := h.Match(pairs.Signed, fmt.Sprint(n), &r, 0, 0)
 			is.Equal(verdict, pairs.Own)
 			r = signed(fmt.Sprint(max(0, n-1000)))
-			verdict, _ = h.Match(pairs.Signed, "another", &r, 0)
+			verdict, _ = h.Match(pairs.Signed, "another", &r, 0, 0)
 			is.Equal(verdict, pairs.Repeated)
 		}
 	})
@@ -99,10 +99,18 @@
 		var h pairs.History
 		r := refused(reply.Busy)
 		for n := range 3 {
-			verdict, _ := h.Match(pairs.Signed, "a", &r, time.Duration(n)*pairs.MaxDelay)
+			verdict, _ := h.Match(pairs.Signed, "a", &r, time.Duration(n)*pairs.MaxDelay, time.Duration(n)*pairs.MaxDelay)
 			is.Equal(verdict, pairs.Own)
 		}
-		verdict, _ := h.Match(pairs.Signed, "a", &r, 3*pairs.MaxDelay-1)
+		verdict, _ := h.Match(pairs.Signed, "a", &r, 3*pairs.MaxDelay-1, 3*pairs.MaxDelay-1)
+		is.Equal(verdict, pairs.Ambiguous)
+	})
+	t.Run("an error comes once more in time and lies unread for longer", func(t *testing.T) {
+		is := is.New(t)
+		var h pairs.History
+		r := refused(reply.Busy)
+		_, _ = h.Match(pairs.Signed, "a", &r, 0, 0)
+		verdict, _ := h.Match(pairs.Signed, "b", &r, pairs.MaxDelay-1, 2*pairs.MaxDelay)
 		is.Equal(verdict, pairs.Ambiguous)
 	})
 }
--- a/internal/modules/alive/alive.go
+++ b/internal/modules/alive/alive.go
@@ -12,11 +12,11 @@
 )
 
 // IsOpen reports whether an idle connection is open and no unexpected data has arrived
-// on it. Connections without a file descriptor count as open.
+// on it. Connections without a file descriptor count as open unless they tell of data.
 func IsOpen(c net.Conn) bool {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return !HasUnread(c)
 	}
 	// A read deadline left from the last use would make the check below fail.
 	if c.SetReadDeadline(time.Time{}) != nil {
--- a/internal/services/pconn/pconn.go
+++ b/internal/services/pconn/pconn.go
@@ -73,6 +73,9 @@
 	startedUntil  time.Duration
 	// unusable is set once answers may be missing or may come that belong to no statement.
 	unusable bool
+	// checkedAt is the last moment, by package uptime, at which nothing lay unread. What is
+	// read next may have arrived at any time since.
+	checkedAt time.Duration
 }
 
 // HasSettings reports whether the connection has exactly these session settings.
@@ -87,7 +90,14 @@
 // idle. A connection with answers still to come is not checked and counts as
 // open.
 func (c *Conn) IsOpen() bool {
-	return c.ownPending > 0 || c.Link.IsOpen()
+	if c.ownPending > 0 {
+		return true
+	}
+	if !c.Link.IsOpen() {
+		return false
+	}
+	c.checkedAt = uptime.Now()
+	return true
 }
 
 // HasNoSettings reports whether no session settings are set on the connection.
@@ -202,7 +212,7 @@
 	c.awaited = awaited{
 		kind:      pairs.Begin,
 		id:        ownID,
-		confirmed: uptime.Now() < c.startedUntil,
+		confirmed: c.checkedAt < c.startedUntil,
 	}
 	c.Link.Send(&query.Query{
 		ID:       ownID,
--- a/internal/services/pconn/receive.go
+++ b/internal/services/pconn/receive.go
@@ -34,6 +34,7 @@
 	if err := c.Link.SetReadDeadline(deadline); err != nil {
 		return reply.Reply{}, err
 	}
+	defer func() { c.checkedAt = uptime.Now() }()
 	if err := c.receiveOwn(); err != nil {
 		return reply.Reply{}, err
 	}
@@ -48,33 +49,33 @@
 		return c.resolve(r, deadline)
 	}
 	if c.ranOutsideTransaction(&r) {
-		c.unusable = true
-		c.recordMismatch(c.awaited.id, "outside-transaction", &r)
-		return reply.Reply{
-			Outcome: reply.InDoubt,
-			Message: errAmbiguous.Error(),
-			State:   reply.Broken,
-		}, nil
+		return c.doubtOutcome(&r), nil
 	}
 	c.noteAnswer(&r)
 	return r, nil
 }
 
 // confirmStart reads the answer to the statement that follows the start of a transaction, if r
-// says that the start succeeded. An error in its place answers the start, and r is that to an
-// earlier one again. After a refusal of the start the answer is that to a statement of the
-// proxy itself.
+// says that the start succeeded. An error from outside of a transaction in its place answers
+// the start, and r is that to an earlier one again. After a refusal of the start the answer is
+// that to a statement of the proxy itself.
 func (c *Conn) confirmStart(r reply.Reply) (reply.Reply, error) {
 	if r.Outcome != reply.Done {
 		c.ownPending++
 		return r, nil
 	}
 	a, _, err := c.receive(c.awaited)
-	if err != nil || a.Outcome == reply.Done {
+	if err != nil {
 		return r, err
 	}
+	if a.Outcome == reply.Done {
+		c.noteUnsigned(&a)
+		return r, nil
+	}
 	c.unusable = true
-	c.recordMismatch(c.awaited.id, "outside-transaction", &r)
+	if a.State == reply.Idle {
+		c.recordMismatch(c.awaited.id, "outside-transaction", &r)
+	}
 	return a, nil
 }
 
@@ -91,6 +92,18 @@
 	return c.inTransaction && c.awaited.kind == pairs.Signed && !c.awaited.commit && r.State == reply.Idle
 }
 
+// doubtOutcome returns the answer to a statement that ran outside of its transaction, if r
+// shows that.
+func (c *Conn) doubtOutcome(r *reply.Reply) reply.Reply {
+	c.unusable = true
+	c.recordMismatch(c.awaited.id, "outside-transaction", r)
+	return reply.Reply{
+		Outcome: reply.InDoubt,
+		Message: errAmbiguous.Error(),
+		State:   reply.Broken,
+	}
+}
+
 // receive reads the next answer that is not the repetition of an earlier one for sure.
 func (c *Conn) receive(s awaited) (reply.Reply, int, error) {
 	for {
@@ -98,7 +111,7 @@
 		if err != nil {
 			return reply.Reply{}, pairs.Own, err
 		}
-		verdict, reason := c.history.Match(s.kind, s.id, &r, uptime.Now())
+		verdict, reason := c.history.Match(s.kind, s.id, &r, c.checkedAt, uptime.Now())
 		if verdict == pairs.Repeated {
 			c.recordMismatch(s.id, reason, &r)
 			continue
--- a/internal/services/pconn/resolve.go
+++ b/internal/services/pconn/resolve.go
@@ -11,7 +11,7 @@
 // Bounds of the statements that are sent to resolve one error: they hold up the answer. On
 // an instance that is known to repeat answers, the outcome is unknown without them.
 const (
-	maxMarkers          = 8
+	maxMarkers          = 16
 	maxMarkersRepeating = 64
 )
 
@@ -23,6 +23,8 @@
 	switch {
 	case c.awaited.read && !c.inTransaction:
 		return c.refuseRead(r), nil
+	case repeats && c.ranOutsideTransaction(&r):
+		return c.doubtOutcome(&r), nil
 	case repeats && (c.awaited.kind == pairs.Begin || c.inTransaction && !c.awaited.commit):
 		// The instance rolls the transaction back when the connection is closed.
 		r.State = reply.Broken
@@ -63,6 +65,7 @@
 // the write, and one to a reset: the write's is the last that is not to a marker.
 func (c *Conn) resolveWithMarkers(markers int, r reply.Reply, deadline time.Time) (reply.Reply, error) {
 	rollsBack := c.inTransaction
+	passed, maxPassed := 0, markers-1
 	c.sendMarkers(markers, rollsBack)
 	if err := c.Flush(deadline); err != nil {
 		return reply.Reply{}, err
@@ -80,9 +83,15 @@
 		if rollsBack && a.Outcome == reply.Malformed {
 			continue // the answer to the rollback, outside of a transaction
 		}
-		verdict, reason := c.history.Match(c.awaited.kind, c.awaited.id, &a, uptime.Now())
+		verdict, reason := c.history.Match(c.awaited.kind, c.awaited.id, &a, c.checkedAt, uptime.Now())
 		if verdict == pairs.Repeated {
 			c.recordMismatch(c.awaited.id, reason, &a)
+			if c.awaited.kind == pairs.Begin && pairs.IsUnsigned(&a) {
+				passed++
+			}
+			if passed > maxPassed {
+				return reply.Reply{}, errAmbiguous // no transaction is open when the marker is answered
+			}
 			continue
 		}
 		c.recordMismatch(c.awaited.id, "repeated-error", &r)
@@ -129,6 +138,9 @@
 		r.State = reply.Idle
 		return r
 	}
+	if r.Outcome == reply.Done && r.State == reply.Idle {
+		return c.doubtOutcome(&r)
+	}
 	if r.Outcome == reply.Done {
 		r = reply.Reply{
 			Outcome: reply.Aborted,
@@ -147,7 +159,7 @@
 
 // mayRepeat reports whether an answer without a signature may come again.
 func (c *Conn) mayRepeat() bool {
-	return c.unsignedUntil > 0 && uptime.Now() < c.unsignedUntil
+	return c.checkedAt < c.unsignedUntil
 }
 
 // noteUnsigned remembers when an answer came that has no signature, and those among them
@@ -173,7 +185,7 @@
 func (c *Conn) countUnsigned() int {
 	n := 0
 	for _, at := range c.unsignedAt {
-		if uptime.Now()-at < pairs.MaxDelay {
+		if c.checkedAt-at < pairs.MaxDelay {
 			n++
 		}
 	}
