Show that a read gets the rows of an earlier one on the PostgreSQL path

What callers get: if an instance sends the answer to a read again, and the repetition arrives while the next read on the same pooled connection is under way, the second caller gets the rows of the first read.

Cause: an answer is matched to its statement by the order on the connection. The pool finds unread input before a connection is used, and package batch finds answers of another shape; a repetition of the same shape that arrives later passes both.

The fake instance sends the answer to an extended query at its Sync, as PostgreSQL does, and not one part for each message: otherwise the repetition is not of a whole answer.

--- a/internal/services/exec/group_test.go
+++ b/internal/services/exec/group_test.go
@@ -46,6 +46,11 @@
 	// repeatAnswers sends each answer twice at once, and delayedRepeat sends the
 	// one before again in front of each answer.
 	repeatAnswers, delayedRepeat bool
+	// lateReads sends the answer to the read before again while a read runs, this
+	// long before its answer; zero sends nothing again.
+	lateReads time.Duration
+	// repeatedReads counts the answers that lateReads sent again.
+	repeatedReads int
 	// asyncMessages is sent after each answer.
 	asyncMessages []byte
 	dials         int
@@ -277,6 +282,9 @@
 	pending       []string
 	failed        bool
 	lastAnswer    []byte
+	// readAnswer is the answer to the last read, and reading tells that a read runs.
+	readAnswer []byte
+	reading    bool
 }
 
 // Write sends an answer, and what the instance is set to send with it.
@@ -292,8 +300,22 @@
 		out = append(out, p...)
 	}
 	out = append(out, n.asyncMessages...)
+	late := n.lateReads
+	if s.reading && late > 0 {
+		n.repeatedReads++
+	}
 	n.group.mu.Unlock()
 	s.lastAnswer = append([]byte(nil), p...)
+	if s.reading {
+		s.reading = false
+		if late > 0 {
+			if _, err := s.conn.Write(s.readAnswer); err != nil {
+				return 0, err
+			}
+			time.Sleep(late)
+		}
+		s.readAnswer = s.lastAnswer
+	}
 	if _, err := s.conn.Write(out); err != nil {
 		return 0, err
 	}
@@ -317,6 +339,7 @@
 			if !s.failed {
 				s.extended(m)
 			}
+			continue // the answer is sent as a whole, as PostgreSQL does
 		}
 		if err := s.backend.Flush(); err != nil {
 			return
@@ -379,6 +402,7 @@
 		}
 		s.pending = append(s.pending, rest)
 	case "read":
+		s.reading = true
 		s.backend.Send(&pgproto3.DataRow{
 			Values: [][]byte{[]byte(n.name), fmt.Append(nil, n.applied)},
 		})
--- a/internal/services/exec/repeat_test.go
+++ b/internal/services/exec/repeat_test.go
@@ -101,3 +101,47 @@
 		})
 	})
 }
+
+// TestRepeatedRead guards against a read that gets the rows of the read before it on the
+// same connection, whose answer comes again while the second one runs.
+func TestRepeatedRead(t *testing.T) {
+	statement := &v1.Statement{
+		Name:  "r",
+		Query: "read",
+	}
+	for _, c := range []struct {
+		name     string
+		messages []byte
+	}{
+		{
+			name:     "simple query",
+			messages: query("read"),
+		},
+		{
+			name:     "prepared statement",
+			messages: executePrepared("r"),
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFakeGroup(t, func(is *is.I, _ context.Context, g *fakeGroup, _ *fakeTable, h *host) {
+				read := func() result {
+					return h.call(t, &v1.Open{
+						Route: "primary",
+					}, c.messages, 2*time.Second, statement)
+				}
+				acknowledged(is, h.write(t, "x"))
+				acknowledged(is, read())
+				is.Equal(read().count, "1")
+				acknowledged(is, h.write(t, "y"))
+				p := g.primary()
+				g.set(func() { p.lateReads = 10 * time.Millisecond })
+				is.True(read().count != "1")
+				g.set(func() { p.lateReads = 0 })
+				is.Equal(p.repeatedReads, 1)
+				r := read()
+				acknowledged(is, r)
+				is.Equal(r.count, "2")
+			})
+		})
+	}
+}
