--- a/internal/standin/simenv/config.go
+++ b/internal/standin/simenv/config.go
@@ -46,7 +46,7 @@
 	return map[string]any{
 		"routes": []any{
 			route("strict", "primary", 0),
-			route("bounded", "bounded_staleness", 1500),
+			route("bounded", "bounded_staleness", int(MaxStaleness.Milliseconds())),
 			route("own", "read_your_writes", 2500),
 		},
 		"services": []any{map[string]any{
--- a/internal/standin/simenv/simenv.go
+++ b/internal/standin/simenv/simenv.go
@@ -74,6 +74,8 @@
 	// TargetLatency and StatementTimeout are those of every database.
 	TargetLatency    = 250 * time.Millisecond
 	StatementTimeout = 800 * time.Millisecond
+	// MaxStaleness bounds the age of reads in the database bounded.
+	MaxStaleness = 1500 * time.Millisecond
 	// ApplyLag is how long replicas take to apply what they received.
 	// StatementTime is how long a statement takes.
 	ApplyLag      = 60 * time.Millisecond
